Watch discovery on sockets even where the settings call it pushed

Cause: the settings say discovery is "pushed", the simulator's word. On sockets nothing arrives that is not asked for, and the agent never asked: it lived on the list of its configuration. The decisions now always ask for a watch there.

The test fails without the change: no call reaches discovery.

--- a/agent/src/config.rs
+++ b/agent/src/config.rs
@@ -1,7 +1,7 @@
 //! What the agent is told at its start: the `PROXY_*` variables and the file that `PROXY_CONFIG` names.
 
 use crate::discovery::{self, List};
-use micasail::Settings;
+use micasail::{Discovery, Settings};
 use micasail_settings::{Names, Params};
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -88,6 +88,8 @@
         let mut settings = micasail_settings::settings(&file.settings);
         // `Retry-After` may stand in any refusal on these sockets; the setting speaks of the simulator's clients.
         settings.retry_after = true;
+        // Nothing is pushed over these sockets: the list comes to whoever keeps up a watch.
+        settings.discovery = Discovery::OnRequest;
         settings.check().map_err(|e| e.to_string())?;
         let names = micasail_settings::names(&file.settings);
         if let Some(place) = names.classes.iter().position(String::is_empty) {
--- a/agent/tests/service.rs
+++ b/agent/tests/service.rs
@@ -83,6 +83,25 @@
     assert!(told.elapsed() < Duration::from_secs(6), "closed for the drain, not for its age of 7 s");
 }
 
+/// `pushed` in the settings speaks of the simulator, where changes come by themselves. On sockets nothing comes
+/// that is not asked for, so the list is watched all the same.
+#[tokio::test]
+async fn a_list_that_the_settings_call_pushed_is_watched() {
+    let mut old = Backend::start(|_| Reply::Bytes(ok("old"))).await;
+    let new = Backend::start(|_| Reply::Bytes(ok("new"))).await;
+    let mut directory = Directory::start(Mood::List(json!({"seq": 1, "whole": true, "hosts": []}))).await;
+    let mut config = config(directory.address, &[host("old", old.address, "up")]);
+    config["settings"]["discovery"] = "pushed".into();
+    let agent = Agent::with(config, |_| {}).await;
+    assert!(directory.next_call().await.starts_with("/v1/endpoints?after=1&wait_ms="));
+    assert_eq!(agent.get("/read").await.body, b"old");
+    old.next().await;
+    directory.list(2, &[host("old", old.address, "draining"), host("new", new.address, "up")]);
+    assert!(directory.next_call().await.starts_with("/v1/endpoints?after=2&wait_ms="));
+    assert_eq!(agent.get("/read").await.body, b"new");
+    assert!(old.seen.try_recv().is_err(), "sent to a draining backend");
+}
+
 /// The same host at another address, or started anew, is another process: nothing goes over old connections.
 #[tokio::test]
 async fn a_new_address_or_a_new_process_means_new_connections() {
