Let a coin settle ties where no load report has come

Cause: ties fell by the last report plus the sends since. Without any report that is all sends since the start, so whoever had been sent least ever won each tie: late joiners, restarted servers and slow machines drew too much.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -462,7 +462,7 @@
         for &c in candidates {
             let coin = self.rng.f64();
             let s = &self.servers[c];
-            let report = s.reported + f64::from(s.sent_since);
+            let report = s.reported_at.map_or(0.0, |_| s.reported + f64::from(s.sent_since));
             let key = if blind {
                 let told = if asks { report.round() as i64 } else { 0 };
                 (i64::from(s.in_flight), told, (-(1.0 - coin).ln() / self.bears(s, now)).to_bits())
--- a/tests/suspects.rs
+++ b/tests/suspects.rs
@@ -126,6 +126,18 @@
     rig.assert_rules();
 }
 
+/// Where no report tells the loads, a tie once went to the server that had been sent the least since the start: one
+/// that joins late, or comes back, drew all ties until it had caught up with the others.
+#[test]
+fn a_server_that_joins_late_does_not_win_every_tie() {
+    let mut rig = Rig::new(settings(Effect::Idempotent), 11);
+    rig.list(fleet(4, 1, 1));
+    serve(&mut rig, 5, 400, |_| (Outcome::Success, 30.0));
+    rig.list(fleet(5, 1, 1));
+    let sent = serve(&mut rig, 5, 100, |_| (Outcome::Success, 30.0));
+    assert!((5..50).contains(&sent[4]), "{sent:?}: about a fifth are its");
+}
+
 /// Without a safe class nothing would ever try a suspect, so others must after a while.
 #[test]
 fn a_site_without_safe_classes_takes_servers_back() {
