Let a server's limit grow only when it is in full use

Cause: a limit grew at 0.7 of its use, rounded down, so with one request in flight it rose to 2.9 and with three to 5.7. In a burst each agent then put 4 to 5 requests on every server at once, the servers slowed two- to threefold, and at that speed the fleet never caught up again.

The test fails without the change.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -704,7 +704,7 @@
             let over = (s.pace / TARGET - 1.0).min(2.0);
             let factor = if used >= 1.0 { LATE_CUT } else { 1.0 - SHRINK * over.max(0.0) };
             s.limit = (s.limit * factor).max(least);
-            if over <= 0.0 && used < 1.0 && f64::from(own) + 1.0 >= (0.7 * s.limit).floor() {
+            if over <= 0.0 && used < 1.0 && f64::from(own) + 1.0 >= s.limit.floor() {
                 s.limit = (s.limit + GROWTH / s.limit.max(1.0)).min(LIMIT_MOST);
             }
             // A full server rests in any case, or what it turns away would go round the fleet at once.
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -85,6 +85,22 @@
     assert!(round(15.0) > crowded + 2, "limits must grow again, from one and a half too");
 }
 
+/// Limits that grew past what was in use let a burst fill every server at once, and the fleet choked on it.
+#[test]
+fn a_limit_that_is_not_in_full_use_does_not_grow() {
+    let mut rig = Rig::new(settings(), 1);
+    rig.list(fleet(1, 1, 1));
+    for _ in 0..400 {
+        let pair = [rig.ask(0).0, rig.ask(0).0];
+        rig.wait(Span::from_ms(20.0));
+        for id in pair {
+            rig.answer(id, 0, Outcome::Success, 20.0);
+        }
+    }
+    let burst = (0..20).filter(|_| rig.ask(0).1.is_some()).count();
+    assert!((2..=3).contains(&burst), "{burst} sent at once, two were in use");
+}
+
 /// An attempt turned away as full must not go round the fleet at once, again and again.
 #[test]
 fn full_servers_get_a_rest() {
