Give up a mute watch before its news counts as told

Cause: a watch was held for 2.5 s past its wait, and the next call follows up to 0.35 s later, while what discovery has to tell counts as told 2 s after the wait. A connection to discovery that fell silent could so hide a drain for longer than the rule on drains allows.

Evidence: with time paused the call ended after 7.5 s, now after 6.5 s; the test fails without the change.

--- a/agent/src/discovery.rs
+++ b/agent/src/discovery.rs
@@ -18,8 +18,9 @@
 
 /// How long a watch waits for news. Short enough that a mute discovery is found out soon.
 const WAIT: Duration = Duration::from_millis(5_000);
-/// A call that has said nothing this long after it should have is mute: discovery is down or cut off.
-const MUTE: Duration = Duration::from_millis(2_500);
+/// A call that has said nothing this long after it should have is mute: discovery is down or cut off. What it had
+/// to tell counts as told 2 s after its wait; by then the next call must have been made.
+const MUTE: Duration = Duration::from_millis(1_500);
 /// The longest list that is read.
 const LIST_MOST: usize = 4 << 20;
 
@@ -237,6 +238,22 @@
         assert_eq!(list.hosts[0].born_ms, 5.0);
     }
 
+    /// What a mute watch should have told counts as told 2 s after its wait, and sends to a server that has left
+    /// must end a drain's time later. By 2 s the next call must have been made, the balancer's pause before it
+    /// included.
+    #[tokio::test(start_paused = true)]
+    async fn a_mute_watch_is_given_up_in_time_to_ask_again_before_its_news_counts_as_told() {
+        const PAUSE_MOST: Duration = Duration::from_millis(350);
+        let mute = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = mute.local_addr().expect("an address");
+        let begun = tokio::time::Instant::now();
+        let watch = async { call(address, &mut None, "/v1/endpoints?after=1&wait_ms=5000", WAIT).await };
+        assert_eq!(tokio::task::LocalSet::new().run_until(watch).await, None);
+        let given_up = begun.elapsed();
+        assert!(given_up >= WAIT, "not while it may still wait: {given_up:?}");
+        assert!(given_up + PAUSE_MOST <= WAIT + Duration::from_secs(2), "{given_up:?}");
+    }
+
     #[test]
     fn what_is_no_list_is_none() {
         for value in [json!(null), json!([]), json!({"seq": 1}), json!({"seq": "1", "hosts": []})] {
