Call back a repeatable attempt that hangs among quick answers

Cause: an overdue attempt was called back only from a server from which nothing came back at all. Where single answers are lost and the rest come quickly, it waited for its deadline, failed, and held a place at its server until then. A slow server's attempt is left alone: it may still stand in the queue.

The test fails without the change.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -866,17 +866,17 @@
         self.set_tick(now, if self.held.is_empty() { TICK_IDLE } else { TICK_BUSY }, out);
     }
 
-    /// A server is silent if an attempt there is overdue and nothing has come back since it was sent. What
-    /// may be repeated and can still be answered in time is called back from it and sent elsewhere.
+    /// A server is silent if an attempt there is overdue and nothing has come back since it was sent. What is
+    /// overdue there or by itself, may be repeated and can be answered in time is called back and sent on.
     fn find_silent(&mut self, now: Time, out: &mut Vec<Action>) {
         let overdue = |(&key, flight): (&(RequestId, u32), &Flight)| {
             let (server, aim) = (&self.servers[flight.server], self.settings.classes[flight.class].aim);
             let least = if server.in_flight > 1 { OVERDUE_LEAST } else { OVERDUE_ALONE };
             let work = self.live.get(&key.0).map_or(0.0, |live| self.work(live));
             let pace = self.class_pace[flight.class].max(self.median).max(work / aim.ms());
-            let wait = aim * ((OVERDUE * pace).max(least));
-            let quiet = server.last_answer < flight.sent;
-            (quiet && now.since(flight.sent) > wait).then_some((key, flight.server))
+            let (quiet, quick) = (server.last_answer < flight.sent, server.pace < TARGET);
+            let due = now.since(flight.sent) > aim * ((OVERDUE * pace).max(least));
+            (due && (quiet || quick)).then_some((key, flight.server, quiet))
         };
         let silent: Vec<_> = self.flights.iter().filter_map(overdue).collect();
         // An answer that is late is known to be late before it comes; waiting for it lets a jam grow.
@@ -884,8 +884,8 @@
         let late = |f: &&mut Flight| blind && !f.counted && now.since(f.sent) > classes[f.class].aim;
         let late = self.flights.values_mut().filter(late).map(|f| f.counted = true).count();
         (0..late).for_each(|_| self.set_level(LATE));
-        for &((id, attempt), server) in &silent {
-            self.suspect(now, server, "silent", out);
+        silent.iter().filter(|s| s.2).for_each(|s| self.suspect(now, s.1, "silent", out));
+        for &((id, attempt), ..) in &silent {
             let Some(live) = self.live.get(&id) else { continue };
             let repeatable = self.settings.classes[live.request.class.0].effect != Effect::AtMostOnce;
             let last = attempt as usize + 1 == live.attempts.len();
--- a/tests/suspects.rs
+++ b/tests/suspects.rs
@@ -97,6 +97,28 @@
     assert!(seen(&rig.wait(Span::from_ms(60.0))), "past its aim it counts");
 }
 
+/// Its answer is lost, but its server answers others: it once waited for its deadline and held a place till then.
+#[test]
+fn a_repeatable_request_that_hangs_among_quick_answers_is_called_back() {
+    let late = Class { late_worth: 0.3, ..class(Effect::Idempotent) };
+    let mut rig = Rig::new(Settings { classes: vec![late], ..Settings::default() }, 5);
+    rig.list(fleet(1, 1, 1));
+    serve(&mut rig, 1, 40, |_| (Outcome::Success, 20.0));
+    let lost = rig.ask(0).0;
+    let cancel = Action::Cancel { request: lost, attempt: AttemptNo(0) };
+    let called_back = (0..20).any(|_| {
+        let (id, server) = rig.ask(0);
+        assert!(server.is_some());
+        let seen = rig.wait(Span::from_ms(20.0)).contains(&cancel);
+        rig.answer(id, 0, Outcome::Success, 20.0);
+        seen
+    });
+    assert!(called_back, "well before its deadline");
+    rig.answer(lost, 0, Outcome::Cancelled, 300.0);
+    assert!(rig.sent_to(lost).is_some(), "and sent again");
+    rig.assert_rules();
+}
+
 #[test]
 fn what_must_not_repeat_is_not_called_back() {
     let mut rig = Rig::new(settings(Effect::AtMostOnce), 5);
