Serve a client even if TCP_NODELAY cannot be set on its socket

Cause: Server::connection dropped an accepted connection, its request unread, when setting TCP_NODELAY failed (agent/src/server.rs, the first lines of `connection`).

Ruled out: places (held under 20 of 244), the time for a first request (no connection ended by it), agents not ready (no request was read). The option only saves time. The same mistake stood in upstream.rs and discovery.rs.

--- a/agent/src/discovery.rs
+++ b/agent/src/discovery.rs
@@ -191,7 +191,8 @@
     let exchange = async {
         if connection.as_mut().is_none_or(|(sender, _)| sender.is_closed()) {
             let stream = TcpStream::connect(address).await.ok()?;
-            stream.set_nodelay(true).ok()?;
+            // A connection without it is slower at the worst.
+            let _ = stream.set_nodelay(true);
             let (sender, driven) = handshake(TokioIo::new(stream)).await.ok()?;
             let task = tokio::task::spawn_local(async move {
                 // Its end shows at the sender.
--- a/agent/src/server.rs
+++ b/agent/src/server.rs
@@ -155,10 +155,8 @@
     }
 
     async fn connection(self: Rc<Self>, stream: TcpStream, line: Rc<Line>, leave: Rc<Notify>) {
-        // Without it answers of one connection would wait for each other's acknowledgement.
-        if stream.set_nodelay(true).is_err() {
-            return;
-        }
+        // Without it answers of one connection may wait for each other's acknowledgement; that beats no answer.
+        let _ = stream.set_nodelay(true);
         let taken = Instant::now();
         let mut draining = self.draining.subscribe();
         let (server, read) = (self.clone(), line.clone());
@@ -379,6 +377,53 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::config::Config;
+    use crate::discovery::List;
+    use micasail::Settings;
+    use micasail_settings::{names, Params};
+    use std::net::SocketAddr;
+    use std::os::fd::OwnedFd;
+    use std::os::unix::net::UnixStream;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+    /// Both ends of a connection that knows no option of TCP, so that setting one fails.
+    fn optionless() -> (TcpStream, TcpStream) {
+        let end = |stream: UnixStream| {
+            let stream = std::net::TcpStream::from(OwnedFd::from(stream));
+            stream.set_nonblocking(true).expect("it does not block");
+            TcpStream::from_std(stream).expect("a stream")
+        };
+        let (ours, theirs) = UnixStream::pair().expect("a pair");
+        assert!(end(ours.try_clone().expect("a clone")).set_nodelay(true).is_err());
+        (end(ours), end(theirs))
+    }
+
+    #[tokio::test]
+    async fn a_client_is_answered_even_if_an_option_of_its_socket_cannot_be_set() {
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
+        let config = Config {
+            name: "agent".into(),
+            listen: nowhere,
+            discovery: nowhere,
+            seed: 1,
+            sockets: 100,
+            settings: Settings::default(),
+            names: names(&Params::default()),
+            known: List::default(),
+        };
+        let serve = async {
+            let server = Server::new(Driver::start(config, 10).expect("a driver"), 10);
+            let (stream, mut client) = optionless();
+            client.write_all(b"GET /ready HTTP/1.1\r\nhost: a\r\n\r\n").await.expect("it is written");
+            let mut answer = [0; 12];
+            tokio::select! {
+                () = server.connection(stream, Line::new(), Rc::default()) => {}
+                read = client.read_exact(&mut answer) => assert!(read.is_ok()),
+            }
+            assert_eq!(&answer, b"HTTP/1.1 503");
+        };
+        tokio::task::LocalSet::new().run_until(serve).await;
+    }
 
     #[test]
     fn waits_have_a_number_and_a_unit() {
--- a/agent/src/upstream.rs
+++ b/agent/src/upstream.rs
@@ -465,7 +465,8 @@
 
 async fn open(dial: SocketAddr) -> io::Result<(SendRequest<Full<Bytes>>, JoinHandle<()>, Rc<Wire>)> {
     let stream = TcpStream::connect(dial).await?;
-    stream.set_nodelay(true)?;
+    // A connection without it is slower at the worst.
+    let _ = stream.set_nodelay(true);
     let wire = Rc::<Wire>::default();
     let io = Counted { io: TokioIo::new(stream), wire: wire.clone() };
     let mut builder = Builder::new();
