Let a balancer that is one of many use its kept connections again

Cause: with more balancers than servers nearly every pick went to a server without a connection. One server was remembered and three drawn, and where counts in flight are all zero the coin in `lightest` (src/logic.rs) chose among the four alike: 85,569 connections for 104,488 requests.

The draws and the memory are six each (d >= m, as the paper asks); the weight of a kept connection comes from the settings' prices, as that of a crossing does.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -11,6 +11,8 @@
 /// Remembered servers (m) and fresh draws (d) of each pick; the paper asks for d >= m.
 const REMEMBERED: usize = 1;
 const DRAWS: usize = 3;
+/// Both, where balancers outnumber servers: a kept connection is what saves a server the work of a handshake.
+const MANY: usize = 6;
 /// Weight of a new answer in a server's pace: about the last eight answers count.
 const PACE_GAIN: f64 = 0.12;
 /// An answer counts as this many aims at most: late is late, and one costly request must not weigh like ten.
@@ -38,10 +40,14 @@
 const TRIAL_MOST: Span = Span(4_000_000);
 /// The share of its aim that an answer should take: over it a server's limit shrinks, under it it grows.
 const TARGET: f64 = 0.25;
-/// A server in another zone weighs this much more for each 1% of a request that crossing is priced at; never
-/// as much as one request more at zero, so that the price alone does not fill a zone.
+/// A server in another zone, or a new connection, weighs this much more for each 1% of a request that it is
+/// priced at; crossing never as much as one request more at zero, or the price alone would fill a zone.
 const AWAY: f64 = 0.25;
 const AWAY_MOST: f64 = 1.8;
+/// The work of a handshake, in requests: operators count 25 to 40 ms against 87 to 180 ms.
+const HANDSHAKE: f64 = 0.25;
+/// What is drawn settles in proportion to what it bears if this power of it weighs the coin.
+const TWICE: f64 = 0.6;
 /// A key's last server weighs this much where keys run warm: it wins unless it holds clearly more.
 const WARM: f64 = 0.7;
 /// Keys remembered; past that all are forgotten, which costs each of them one cold run.
@@ -301,9 +307,6 @@
     fn place(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) -> bool {
         let Some(live) = self.live.get(&id) else { return true };
         let pick = self.pick_for(now, live);
-        if pick.reach == Reach::Nowhere {
-            return false;
-        }
         let candidates = self.candidates(now, &pick);
         if self.asks() && !candidates.is_empty() {
             self.ask(now, id, candidates, out);
@@ -341,7 +344,7 @@
     fn asks(&self) -> bool {
         let s = &self.settings;
         let telling = s.report_fields.iter().any(|f| matches!(f, ReportField::InFlight | ReportField::Queue));
-        let price = s.prices.probe * (DRAWS + REMEMBERED) as f64;
+        let price = s.prices.probe * (2 * MANY) as f64;
         s.probes && s.report_source == ReportSource::Probes && telling && price <= ASK_PRICE && self.blind
     }
 
@@ -409,13 +412,23 @@
         rested && !cold && f64::from(s.in_flight) + 1.0 <= (limit * warmth).max(1.0)
     }
 
+    /// How many servers are drawn afresh for a pick, and how many are remembered.
+    fn sizes(&self) -> (usize, usize) {
+        if self.blind {
+            (MANY, MANY)
+        } else {
+            (DRAWS, REMEMBERED)
+        }
+    }
+
     /// Fresh uniform draws from the servers that are ready for the request, and the remembered ones that are.
     /// Draws are by rejection, four tries each, so that a pick costs the same in a large fleet; only if all
     /// fail is each server looked at, and those that were tried before come last.
     fn candidates(&mut self, now: Time, ask: &Pick) -> Vec<usize> {
-        let mut found: Vec<usize> = Vec::with_capacity(DRAWS + REMEMBERED + 1);
-        for _ in 0..4 * DRAWS {
-            if found.len() >= DRAWS || self.serving.is_empty() {
+        let (draws, remembered) = self.sizes();
+        let mut found: Vec<usize> = Vec::with_capacity(draws + remembered + 1);
+        for _ in 0..4 * draws {
+            if found.len() >= draws || self.serving.is_empty() {
                 break;
             }
             let i = self.serving[self.rng.usize(0..self.serving.len())];
@@ -433,7 +446,7 @@
             let open = self.serving.iter().copied().filter(ready);
             let (again, fresh): (Vec<_>, Vec<_>) = open.partition(|i| ask.tried.contains(i));
             let open = if fresh.is_empty() { again } else { fresh };
-            found.extend((0..DRAWS.min(open.len())).map(|_| open[self.rng.usize(0..open.len())]));
+            found.extend((0..draws.min(open.len())).map(|_| open[self.rng.usize(0..open.len())]));
         }
         found
     }
@@ -444,17 +457,19 @@
     /// empty wins the pick, a candidate counts for as many as it wins over.
     fn passes(&mut self, now: Time, i: usize) -> bool {
         let warmth = self.warmth(&self.servers[i], now);
-        let wins = if self.asks() { DRAWS + REMEMBERED } else { 1 };
+        let wins = if self.asks() { 2 * MANY } else { 1 };
         !self.blind || warmth >= 1.0 || self.rng.f64() * (wins as f64) < warmth
     }
 
     /// The candidate with the least own load: requests in flight, scaled by what the machine costs (how slow
     /// it has shown itself, a priced crossing, a warm key). Ties fall by its report; a coin is last.
     ///
-    /// A blind balancer compares the plain counts, and the coin is weighed by what each candidate can bear.
-    /// As the last choice is among the candidates, the choices of all together settle in proportion to that.
+    /// A blind balancer compares the plain counts, and the coin is weighed by what each candidate can bear
+    /// and, where it saves a handshake, by the price of that.
     fn lightest(&mut self, now: Time, candidates: &[usize], pick: &Pick) -> Option<usize> {
         let away = (1.0 + 100.0 * AWAY * self.settings.prices.cross_zone).clamp(1.0, AWAY_MOST);
+        let prices = &self.settings.prices;
+        let kept = 1.0 + 100.0 * AWAY * (prices.handshake + HANDSHAKE * prices.waste);
         let (blind, asks) = (self.blind, self.asks());
         let mut best = None;
         for &c in candidates {
@@ -463,7 +478,8 @@
             let report = s.reported_at.map_or(0.0, |_| s.reported + f64::from(s.sent_since));
             let key = if blind {
                 let told = if asks { report.round() as i64 } else { 0 };
-                (i64::from(s.in_flight), told, (-(1.0 - coin).ln() / self.bears(s, now)).to_bits())
+                let weight = self.bears(s, now) * if self.memory.contains(&c) { kept } else { 1.0 };
+                (i64::from(s.in_flight), told, (-(1.0 - coin).ln() / weight).to_bits())
             } else {
                 let far = if s.listed.zone == self.settings.zone { 1.0 } else { away };
                 let known = if pick.warm == Some(c) { WARM } else { 1.0 };
@@ -481,7 +497,8 @@
 
     /// What a server can bear next to others: its listed size over what waits there by its report. A report's
     /// news fades, and what is not known is as crowded as the rest.
-    /// The pace counts in its cube: by the plain one slow machines time out while fast ones idle.
+    /// The pace counts in its cube: by the plain one slow machines time out while fast ones idle. A server
+    /// wins the coin to be remembered and again at each pick from the memory: `TWICE` evens that out.
     fn bears(&self, s: &Server, now: Time) -> f64 {
         let size = if self.settings.weights == Weights::Size { s.listed.weight } else { 1.0 };
         let size = if size.is_finite() && size > 0.0 { size } else { 1.0 };
@@ -492,7 +509,7 @@
         let kind = self.kinds.get(&s.listed.kind).map_or(self.median, |k| k.0);
         let own = f64::from(s.samples).min(OWN_MOST);
         let pace = (kind * KIND_WORTH + s.pace * own) / (KIND_WORTH + own);
-        doubt * size / (1.0 + waiting) / pace.max(0.01).powi(3)
+        doubt * (size / (1.0 + waiting) / pace.max(0.01).powi(3)).powf(TWICE)
     }
 
     fn remember(&mut self, server: usize, key: Option<KeyId>, out: &mut Vec<Action>) {
@@ -504,7 +521,7 @@
         }
         self.memory.retain(|&m| m != server);
         self.memory.insert(0, server);
-        let left = self.memory.split_off(REMEMBERED.min(self.memory.len()));
+        let left = self.memory.split_off(self.sizes().1.min(self.memory.len()));
         left.into_iter().for_each(|m| self.let_go(m, out));
     }
 
