--- a/src/logic.rs
+++ b/src/logic.rs
@@ -598,7 +598,7 @@
 
     /// Fresh draws range over the whole fleet, so kept connections would grow to balancers times servers and
     /// fill the servers' tables. A blind balancer comes by too seldom to be worth a place in each: it keeps
-    /// only the connections of the remembered server.
+    /// only the connections of the remembered ones.
     fn let_go(&self, server: usize, out: &mut Vec<Action>) {
         let s = &self.servers[server];
         if s.in_flight == 0 && self.blind && !self.memory.contains(&server) {
