Count answers over half their aim as signs of a jam where balancers are many

Where balancers are many, an answer moved the common level down from the whole aim on only (set_level), and one still out was noticed there (find_silent). A server of one core that takes half the aim holds about four requests, and one that does so for a second or two is two to three times slower until it has been mostly idle.

The bound is now the one that balancers of large servers have, twice the target.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -60,7 +60,10 @@
 const GROWTH: f64 = 0.1;
 /// And shrinks by this much of its overshoot an answer; 0.04 and 0.08 cost more than they save.
 const SHRINK: f64 = 0.02;
-/// The common level loses this share of itself in a round trip of slow answers (over twice the target), and
+/// An answer is slow from this share of its aim on: by then a server holds several requests for each core, and one
+/// that does so for long turns slow for longer. Late ones alone would be a sign that comes after the fact.
+const SLOW_ANSWER: f64 = 2.0 * TARGET;
+/// The common level loses this share of itself in a round trip of slow answers, and
 /// gains `LEVEL_UP` of its root in one of good ones: a quarter of slow answers holds it, low levels catch up.
 const LEVEL_CUT: f64 = 0.6;
 const LEVEL_UP: f64 = 0.2;
@@ -753,8 +756,7 @@
     /// Moves the common level by one answer.
     fn set_level(&mut self, used: f64) {
         let least = if self.blind { LEVEL_LEAST } else { 1.0 / f64::from(self.settings.balancers.max(1)) };
-        let slow = if self.blind { 1.0 } else { 2.0 * TARGET };
-        let step = if used >= slow { -LEVEL_CUT * self.level } else { LEVEL_UP * self.level.sqrt() };
+        let step = if used >= SLOW_ANSWER { -LEVEL_CUT * self.level } else { LEVEL_UP * self.level.sqrt() };
         let round = if self.blind { ROUND_LEAST.max(self.flights.len() + 1) } else { self.flights.len() + 1 };
         self.level = (self.level + step / round as f64).clamp(least, 1.0);
     }
@@ -897,11 +899,12 @@
             (due && (quiet || quick)).then_some((key, flight.server, quiet))
         };
         let silent: Vec<_> = self.flights.iter().filter_map(overdue).collect();
-        // An answer that is late is known to be late before it comes; waiting for it lets a jam grow.
+        // A slow answer is known to be slow before it comes; waiting for it lets a jam grow.
         let (classes, blind) = (&self.settings.classes, self.blind);
-        let late = |f: &&mut Flight| blind && !f.counted && now.since(f.sent) > classes[f.class].aim;
-        let late = self.flights.values_mut().filter(late).map(|f| f.counted = true).count();
-        (0..late).for_each(|_| self.set_level(LATE));
+        let slow =
+            |f: &&mut Flight| blind && !f.counted && now.since(f.sent) > classes[f.class].aim * SLOW_ANSWER;
+        let slow = self.flights.values_mut().filter(slow).map(|f| f.counted = true).count();
+        (0..slow).for_each(|_| self.set_level(LATE));
         silent.iter().filter(|s| s.2).for_each(|s| self.suspect(now, s.1, "silent", out));
         for &((id, attempt), ..) in &silent {
             let Some(live) = self.live.get(&id) else { continue };
--- a/tests/blind.rs
+++ b/tests/blind.rs
@@ -164,6 +164,29 @@
     assert!((5..60).contains(&sent), "{sent} of 100 sent");
 }
 
+/// A server that takes half the aim holds several requests for each core and is about to slow down for long; heeded
+/// only from the whole aim on, the level came to rest where slowed servers are never idle enough to recover.
+#[test]
+fn answers_over_half_their_aim_are_signs_of_a_jam() {
+    let mut rig = Rig::new(settings(), 14);
+    rig.list(fleet(50, 1, 1));
+    serve(&mut rig, 50, 100, 0.6 * AIM_MS, all_well);
+    let sent = (0..100).filter(|_| rig.ask(0).1.is_some()).count();
+    assert!(sent < 40, "{sent} of 100 sent to servers that take long");
+}
+
+/// Waiting for the answer itself lets the jam grow for as long.
+#[test]
+fn an_answer_counts_as_slow_once_half_its_aim_is_over() {
+    let mut rig = Rig::new(settings(), 15);
+    rig.list(fleet(50, 1, 1));
+    let waiting = (0..100).filter(|_| rig.ask(0).1.is_some()).count();
+    assert!(waiting > 90, "{waiting} of 100 sent while nothing is known");
+    rig.wait(Span::from_ms(0.8 * AIM_MS));
+    let sent = (0..100).filter(|_| rig.ask(0).1.is_some()).count();
+    assert!(sent < 70, "{sent} of 100 sent while as many wait for over half the aim");
+}
+
 /// Each of many balancers lost a request to each silent server; now a few bytes tell the others.
 #[test]
 fn hearsay_is_told_heeded_and_forgotten() {
