--- a/src/logic.rs
+++ b/src/logic.rs
@@ -60,11 +60,11 @@
 const GROWTH: f64 = 0.1;
 /// And shrinks by this much of its overshoot an answer; 0.04 and 0.08 cost more than they save.
 const SHRINK: f64 = 0.02;
-/// An answer is slow from this share of its aim on: by then a server holds several requests for each core, and one
-/// that does so for long turns slow for longer. Late ones alone would be a sign that comes after the fact.
+/// An answer is slow from this share of its aim on: by then a server holds several requests for each core,
+/// and one that does so for long turns slow for longer. Late ones alone are a sign that comes too late.
 const SLOW_ANSWER: f64 = 2.0 * TARGET;
-/// The common level loses this share of itself in a round trip of slow answers, and
-/// gains `LEVEL_UP` of its root in one of good ones: a quarter of slow answers holds it, low levels catch up.
+/// The common level loses this share of itself in a round trip of slow answers, and gains `LEVEL_UP` of its
+/// root in one of good ones: a quarter of slow answers holds it, low levels catch up.
 const LEVEL_CUT: f64 = 0.6;
 const LEVEL_UP: f64 = 0.2;
 /// A blind balancer counts this many answers as a round trip at least, or one slow answer would shut it; and
