Let the level of many balancers go with the fleet that the list tells of

The common level is the share of the requests that the fleet bears.

measure (src/logic.rs) now scales the level by the listed capacity, cold servers by what they surely bear, both ways, in list and at each tick. An empty list changes nothing.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -562,6 +562,19 @@
         cold + (1.0 - cold) * age / warm
     }
 
+    /// What the serving fleet bears, in warm servers. The level goes with it: the list tells of a fleet that
+    /// shrinks before any server is slow, and once they are slow they stay so; one that warms up bears more.
+    fn measure(&mut self, now: Time) {
+        let warmths: Vec<f64> = self.serving.iter().map(|&i| self.warmth(&self.servers[i], now)).collect();
+        self.warm = warmths.iter().filter(|w| **w >= 1.0).count();
+        let capacity: f64 = warmths.iter().sum();
+        if self.blind && capacity > 0.0 && self.capacity > 0.0 {
+            self.level = (self.level * capacity / self.capacity).clamp(LEVEL_LEAST, 1.0);
+        }
+        // An empty list says nothing of what comes after it.
+        self.capacity = if capacity > 0.0 { capacity } else { self.capacity };
+    }
+
     /// The usual answer time of a class in milliseconds.
     fn usual(&self, class: usize) -> f64 {
         (self.class_pace[class] * self.settings.classes[class].aim.ms()).max(0.001)
@@ -857,7 +870,7 @@
         let servers = &self.servers;
         self.serving = (0..servers.len()).filter(|&i| servers[i].listed.status == Status::Serving).collect();
         self.memory.retain(|&m| servers[m].listed.status == Status::Serving);
-        self.warm = self.serving.iter().filter(|&&i| self.warmth(&self.servers[i], now) >= 1.0).count();
+        self.measure(now);
         self.most = self.most.max(self.serving.len());
         self.blind = self.settings.balancers as usize > self.most;
         self.pump(now, out);
@@ -879,7 +892,7 @@
         let judged = |s: &&Server| s.listed.status == Status::Serving && s.samples > 0;
         let paces = self.servers.iter().filter(judged).map(|s| s.pace);
         self.median = median(paces).unwrap_or(self.median).max(0.01);
-        self.warm = self.serving.iter().filter(|&&i| self.warmth(&self.servers[i], now) >= 1.0).count();
+        self.measure(now);
         self.rank_classes();
         self.find_silent(now, out);
         self.pump(now, out);
--- a/src/records.rs
+++ b/src/records.rs
@@ -178,6 +178,8 @@
     /// Servers that are warm, and the work that each of them was sent on average.
     pub(crate) warm: usize,
     pub(crate) warm_sent: Fading,
+    /// What the serving servers bear together, in warm ones.
+    pub(crate) capacity: f64,
     /// The most servers that were serving at a time.
     pub(crate) most: usize,
     /// With more balancers than servers, most of a server's load is other balancers' and own counts are
@@ -235,6 +237,7 @@
             serving: Vec::new(),
             asking: Vec::new(),
             warm: 0,
+            capacity: 0.0,
             warm_sent: Fading::default(),
             most: 0,
             blind: false,
--- a/tests/blind.rs
+++ b/tests/blind.rs
@@ -187,6 +187,23 @@
     assert!(sent < 70, "{sent} of 100 sent while as many wait for over half the aim");
 }
 
+/// The servers that were left of a fleet were sent all that it had borne, until their answers told of the jam; by then
+/// they were slow for long. What comes back, as a whole or from a list that was empty, is let in again.
+#[test]
+fn a_fleet_that_shrinks_is_let_less_in_at_once() {
+    let mut rig = Rig::new(settings(), 17);
+    let admitted = |rig: &mut Rig| (0..200).filter(|_| rig.ask(0).1.is_some()).count();
+    rig.list(fleet(100, 1, 1));
+    serve(&mut rig, 100, 100, 20.0, all_well);
+    rig.list(fleet(40, 1, 1));
+    let sent = admitted(&mut rig);
+    assert!((50..110).contains(&sent), "{sent} of 200 sent to the 40 servers that are left of 100");
+    rig.list(Vec::new());
+    rig.list(fleet(100, 1, 1));
+    let sent = admitted(&mut rig);
+    assert!(sent > 180, "{sent} of 200 sent to the fleet that is back");
+}
+
 /// Each of many balancers lost a request to each silent server; now a few bytes tell the others.
 #[test]
 fn hearsay_is_told_heeded_and_forgotten() {
--- a/tests/random_walk.rs
+++ b/tests/random_walk.rs
@@ -139,7 +139,7 @@
 #[test]
 fn the_rules_hold_on_random_walks() {
     for pick in 0..120 {
-        let (rig, said) = walk(pick, 1500);
+        let (rig, said) = walk(pick, 1800);
         assert!(rig.observer.faults.is_empty(), "walk {pick}: {:#?}", rig.observer.faults);
         assert_eq!(rig.observer.lost(rig.now), 0, "walk {pick}");
         let sends = said.iter().filter(|s| s.contains("Send")).count();
