Send Retry-After only where the settings allow it

from_file (agent/src/config.rs) set retry_after for every deployment, on the ground that the setting speaks of the simulator's clients only. The protocol calls 'the settings' the same object on sockets, and the operators want the header where the settings allow it.

Test: a_refusal_says_when_to_come_back_where_that_is_allowed, seen to fail with the line in place (a header where none is allowed).

--- a/agent/src/config.rs
+++ b/agent/src/config.rs
@@ -86,8 +86,6 @@
         let listen = address("PROXY_LISTEN", file.listen)?;
         let discovery = address("PROXY_DISCOVERY", file.discovery)?;
         let mut settings = micasail_settings::settings(&file.settings);
-        // `Retry-After` may stand in any refusal on these sockets; the setting speaks of the simulator's clients.
-        settings.retry_after = true;
         // Nothing is pushed over these sockets: the list comes to whoever keeps up a watch.
         settings.discovery = Discovery::OnRequest;
         settings.check().map_err(|e| e.to_string())?;
--- a/agent/tests/attempts.rs
+++ b/agent/tests/attempts.rs
@@ -252,18 +252,23 @@
     assert_eq!(message.first_line(), "GET /read/next HTTP/1.1");
 }
 
-/// What the balancer gives up is answered at once, and a client that the settings allow advice is told when to
-/// come back.
+/// What the balancer gives up is answered at once, and a client is told when to come back where the settings allow
+/// that, and nowhere else.
 #[tokio::test]
-async fn a_refusal_says_when_to_come_back() {
+async fn a_refusal_says_when_to_come_back_where_that_is_allowed() {
     let directory = Directory::start(Mood::Mute).await;
     let rejecting = b"HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n".to_vec();
     let backend = Backend::start(move |_| Reply::Bytes(rejecting.clone())).await;
-    let agent = Agent::start(directory.address, &[host("s", backend.address, "up")]).await;
-    let answer = agent.client().await.ask(&request("GET", "/read", "2000m", "")).await;
-    assert_eq!(answer.status(), 429);
-    let after: f64 = answer.header("retry-after").expect("advice").parse().expect("seconds");
-    assert!(after > 0.0 && after <= 0.75, "{after}");
+    for allowed in [true, false] {
+        let mut config = config(directory.address, &[host("s", backend.address, "up")]);
+        config["settings"]["limits"]["retryAfter"] = allowed.into();
+        let agent = Agent::with(config, |_| {}).await;
+        let answer = agent.client().await.ask(&request("GET", "/read", "2000m", "")).await;
+        assert_eq!(answer.status(), 429);
+        let after = answer.header("retry-after").map(|after| after.parse::<f64>().expect("seconds"));
+        assert_eq!(after.is_some(), allowed);
+        assert!(after.is_none_or(|after| after > 0.0 && after <= 0.75), "{after:?}");
+    }
 }
 
 /// Spoilt answers: noise, heads without end, lengths that cannot be and an answer that goes on and on. Each is an
