Find the end of a chunked request, and read what comes after it

Seen in review: a request in chunks that is answered with its connection kept leaves that connection deaf. Its next request is taken and never read, so it is lost.

Lines at fault, agent/src/framing.rs: a chunked body was passed on as one of u64::MAX bytes, for only its reader knew its end; turn() takes a body that is not at its end for one that nobody reads, and goes to Shut. So the bytes behind the body also went to hyper's own buffer, behind which hyper sees no client leave.

The framing now finds the end itself, by httparse's chunk sizes and trailers, and so also when the request is whole, which the reader had to tell it before.

Ruled out: hyper closing the connection after a chunked request; it kept it open and waited.

a_connection_goes_on_after_a_chunked_request (agent/tests/clients.rs) fails without the change, with no answer to the second request, and passes with it.

--- a/agent/src/framing.rs
+++ b/agent/src/framing.rs
@@ -71,11 +71,6 @@
         self.ambiguous.get()
     }
 
-    /// The present request has come whole, which of a chunked body only its reader knows.
-    pub fn whole(&self) {
-        self.enter(Phase::Open);
-    }
-
     /// The present request has its answer; the next one may be read.
     pub fn answered(&self) {
         self.enter(Phase::Idle);
@@ -90,14 +85,23 @@
 enum Stage {
     /// Its head is coming.
     Head,
-    /// This much of its body is yet to be passed on.
-    Body(u64),
+    /// The line ahead of a chunk of its body is coming.
+    Chunk,
+    /// This much is yet to be passed on, of its body or of a chunk, the line ahead included.
+    Body(u64, Then),
     /// It is whole; what comes now belongs to the next one, or is the client's leaving.
     Whole,
     /// Nothing that comes is a request any more.
     Shut,
 }
 
+/// What follows on a body's known length.
+#[derive(Clone, Copy)]
+enum Then {
+    Whole,
+    Chunk,
+}
+
 /// A client's connection, read request by request.
 pub struct Framed {
     io: TokioIo<TcpStream>,
@@ -167,17 +171,47 @@
                 (self.pass, self.stage) = (head, Stage::Whole);
                 self.line.enter(Phase::Open);
             }
-            Frame::Sized(head, body) => (self.pass, self.stage) = (head, Stage::Body(body)),
-            Frame::Chunked(head) => (self.pass, self.stage) = (head, Stage::Body(u64::MAX)),
+            Frame::Sized(head, body) => (self.pass, self.stage) = (head, Stage::Body(body, Then::Whole)),
+            Frame::Chunked(head) => (self.pass, self.stage) = (head, Stage::Chunk),
+        }
+        true
+    }
+
+    /// Takes in what has come of the line ahead of a chunk, or of what ends the last one; true if some of it can be
+    /// passed on.
+    fn take_chunk(&mut self) -> bool {
+        match chunk(&self.ahead) {
+            Chunk::Partial if self.ahead.len() < HEAD_MOST => return false,
+            // The body's reader finds the fault, and the request is answered with it.
+            Chunk::Partial | Chunk::Unreadable => (self.pass, self.stage) = (self.ahead.len(), Stage::Shut),
+            Chunk::Sized(length) => self.stage = Stage::Body(length, Then::Chunk),
+            Chunk::Last(length) => {
+                (self.pass, self.stage) = (length, Stage::Whole);
+                self.line.enter(Phase::Open);
+            }
         }
         true
     }
 
+    /// Takes in what has come of so much of a body; true if some of it can be passed on.
+    fn take_body(&mut self, left: u64, then: Then) -> bool {
+        self.pass = left.min(self.ahead.len() as u64) as usize;
+        self.stage = match (left - self.pass as u64, then) {
+            (0, Then::Whole) => {
+                self.line.enter(Phase::Open);
+                Stage::Whole
+            }
+            (0, Then::Chunk) => Stage::Chunk,
+            (left, then) => Stage::Body(left, then),
+        };
+        self.pass > 0
+    }
+
     /// The request has been answered: the next head may come, unless its body has not been read to its end.
     fn turn(&mut self) {
         self.stage = match self.stage {
             Stage::Whole | Stage::Head => Stage::Head,
-            Stage::Body(_) | Stage::Shut => Stage::Shut,
+            _ => Stage::Shut,
         };
         self.parsed = 0;
     }
@@ -201,28 +235,20 @@
                 this.pass -= n;
                 return Poll::Ready(Ok(()));
             }
-            match this.stage {
-                Stage::Head => {
-                    if this.take_head() {
-                        continue;
-                    }
-                }
-                Stage::Body(left) if !this.ahead.is_empty() => {
-                    this.pass = left.min(this.ahead.len() as u64) as usize;
-                    this.stage = Stage::Body(left - this.pass as u64);
-                    if left == this.pass as u64 {
-                        this.stage = Stage::Whole;
-                        this.line.enter(Phase::Open);
-                    }
-                    continue;
-                }
-                Stage::Shut => return Poll::Pending,
+            let more = match this.stage {
+                Stage::Head => this.take_head(),
+                Stage::Chunk => this.take_chunk(),
+                Stage::Body(left, then) => this.take_body(left, then),
                 // Enough has been read ahead; the answer to the present request wakes this again.
                 Stage::Whole if this.ahead.len() >= HEAD_MOST || (this.ended && !this.ahead.is_empty()) => {
                     *this.line.waker.borrow_mut() = Some(cx.waker().clone());
                     return Poll::Pending;
                 }
-                Stage::Body(_) | Stage::Whole => {}
+                Stage::Whole => false,
+                Stage::Shut => return Poll::Pending,
+            };
+            if more {
+                continue;
             }
             match this.poll_fill(cx) {
                 Poll::Ready(Ok(true)) => {}
@@ -274,6 +300,34 @@
     Chunked(usize),
 }
 
+/// What the bytes so far are of a chunked body: a chunk's line, with the length of both, or its end.
+#[derive(Debug, PartialEq)]
+enum Chunk {
+    Partial,
+    Unreadable,
+    Sized(u64),
+    Last(usize),
+}
+
+fn chunk(bytes: &[u8]) -> Chunk {
+    match httparse::parse_chunk_size(bytes) {
+        Ok(httparse::Status::Complete((line, 0))) => {
+            let mut trailers = [httparse::EMPTY_HEADER; LINES_MOST];
+            match httparse::parse_headers(&bytes[line..], &mut trailers) {
+                Ok(httparse::Status::Complete((end, _))) => Chunk::Last(line + end),
+                Ok(httparse::Status::Partial) => Chunk::Partial,
+                Err(_) => Chunk::Unreadable,
+            }
+        }
+        Ok(httparse::Status::Complete((line, size))) => {
+            let length = size.checked_add((line + "\r\n".len()) as u64);
+            length.map_or(Chunk::Unreadable, Chunk::Sized)
+        }
+        Ok(httparse::Status::Partial) => Chunk::Partial,
+        Err(_) => Chunk::Unreadable,
+    }
+}
+
 fn frame(bytes: &[u8]) -> Frame {
     let mut lines = [httparse::EMPTY_HEADER; LINES_MOST];
     let mut request = httparse::Request::new(&mut lines);
@@ -331,6 +385,20 @@
         }
     }
 
+    #[test]
+    fn a_chunked_body_ends_with_its_last_chunk_and_what_trails_it() {
+        assert_eq!(chunk(b"4\r\nabcd\r\n0\r\n\r\n"), Chunk::Sized(9));
+        assert_eq!(chunk(b"4;a=b\r\n"), Chunk::Sized(13));
+        assert_eq!(chunk(b"0\r\n\r\nGET "), Chunk::Last(5));
+        assert_eq!(chunk(b"0\r\nA: b\r\n\r\nGET "), Chunk::Last(11));
+        for part in [&b""[..], b"4", b"4\r", b"0\r\n", b"0\r\n\r", b"0\r\nA: b\r\n"] {
+            assert_eq!(chunk(part), Chunk::Partial, "{part:?}");
+        }
+        for bad in [&b"x\r\n"[..], b"fffffffffffffffff\r\n", b"0\r\nno colon\r\n\r\n"] {
+            assert_eq!(chunk(bad), Chunk::Unreadable, "{bad:?}");
+        }
+    }
+
     #[test]
     fn plain_lengths_are_read() {
         assert_eq!(framed("Content-Length: 4\r\n"), Frame::Sized(41, 4));
--- a/agent/src/server.rs
+++ b/agent/src/server.rs
@@ -222,7 +222,6 @@
             });
         }
         let arrival = self.read(request).await?;
-        line.whole();
         let Some(_open) = self.open(&arrival) else {
             return Err(plain(StatusCode::CONFLICT, "a request with this X-Request-ID is open"));
         };
--- a/agent/tests/clients.rs
+++ b/agent/tests/clients.rs
@@ -196,3 +196,18 @@
     assert_eq!(answer.status(), 200);
     assert_eq!(backend.next().await.body, b"the body");
 }
+
+/// What a chunked request's connection brings next is another request, and both are answered.
+#[tokio::test]
+async fn a_connection_goes_on_after_a_chunked_request() {
+    let (mut backend, _directory, agent) = world(1024).await;
+    let mut client = agent.client().await;
+    for trailer in ["", "X-Trailer: t\r\n"] {
+        let text = request("POST", "/pay", "20000m", "");
+        let text = text.replace("Content-Length: 0", "Transfer-Encoding: chunked");
+        client.send(&(text + "3\r\nabc\r\n")).await;
+        client.send(&format!("2;x=y\r\nde\r\n0\r\n{trailer}\r\n")).await;
+        assert_eq!(client.answer().await.status(), 200);
+        assert_eq!(backend.next().await.body, b"abcde");
+    }
+}
