See a client leave whatever it has sent behind its request

Seen in review: a client that sends bytes behind its request and leaves is not seen to leave. Its request stays open, is repeated after an answer that turned it away, is sent once a server has room, and goes out over a connection that comes up late.

Lines at fault, agent/src/framing.rs: poll_read kept the end of the stream to itself while bytes stood behind the request, and stopped reading once a head's length of them had come, so an end or a reset behind a burst was not even read. The end is now passed on at once, and a burst is read and dropped beyond a head's length; as what was dropped can't be read again, the answer of such a connection is its last and says so.

Ruled out: the ways on from there (Owed in server.rs, gone and stop_unwritten in driver.rs) drop a held request, one that would be repeated and one that connects, once the leaving is seen.

The wait for a connect under way looks at the kernel's list now instead of sleeping.

--- a/agent/src/framing.rs
+++ b/agent/src/framing.rs
@@ -40,6 +40,7 @@
 pub struct Line {
     phase: Cell<(Phase, Instant)>,
     ambiguous: Cell<bool>,
+    excess: Cell<bool>,
     answered: Cell<bool>,
     waker: RefCell<Option<Waker>>,
 }
@@ -50,6 +51,7 @@
         Rc::new(Line {
             phase: Cell::new((Phase::Mute, Instant::now())),
             ambiguous: Cell::new(false),
+            excess: Cell::new(false),
             answered: Cell::new(false),
             waker: RefCell::new(None),
         })
@@ -71,6 +73,11 @@
         self.ambiguous.get()
     }
 
+    /// More came behind the present request than is kept: its answer has to be the connection's last.
+    pub fn excess(&self) -> bool {
+        self.excess.get()
+    }
+
     /// The present request has its answer; the next one may be read.
     pub fn answered(&self) {
         self.enter(Phase::Idle);
@@ -129,7 +136,9 @@
         }
     }
 
-    /// Reads more; false at the end of the stream. Memory is taken only once there is something to read.
+    /// Reads more; false at the end of the stream. Memory is taken only once there is something to read. Behind a
+    /// whole request no more than a head's length is kept, but all is read, or the client's leaving would stand
+    /// unseen behind it.
     fn poll_fill(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<bool>> {
         if self.ended {
             return Poll::Ready(Ok(false));
@@ -139,7 +148,11 @@
             let mut chunk = [0; CHUNK];
             match self.io.inner().try_read(&mut chunk) {
                 Ok(n) => {
-                    self.ahead.extend_from_slice(&chunk[..n]);
+                    if matches!(self.stage, Stage::Whole) && self.ahead.len() + n > HEAD_MOST {
+                        self.line.excess.set(true);
+                    } else {
+                        self.ahead.extend_from_slice(&chunk[..n]);
+                    }
                     self.ended = n == 0;
                     return Poll::Ready(Ok(n > 0));
                 }
@@ -210,7 +223,7 @@
     /// The request has been answered: the next head may come, unless its body has not been read to its end.
     fn turn(&mut self) {
         self.stage = match self.stage {
-            Stage::Whole | Stage::Head => Stage::Head,
+            Stage::Whole | Stage::Head if !self.line.excess() => Stage::Head,
             _ => Stage::Shut,
         };
         self.parsed = 0;
@@ -239,11 +252,6 @@
                 Stage::Head => this.take_head(),
                 Stage::Chunk => this.take_chunk(),
                 Stage::Body(left, then) => this.take_body(left, then),
-                // Enough has been read ahead; the answer to the present request wakes this again.
-                Stage::Whole if this.ahead.len() >= HEAD_MOST || (this.ended && !this.ahead.is_empty()) => {
-                    *this.line.waker.borrow_mut() = Some(cx.waker().clone());
-                    return Poll::Pending;
-                }
                 Stage::Whole => false,
                 Stage::Shut => return Poll::Pending,
             };
@@ -252,7 +260,7 @@
             }
             match this.poll_fill(cx) {
                 Poll::Ready(Ok(true)) => {}
-                Poll::Ready(Ok(false)) if matches!(this.stage, Stage::Whole) && !this.ahead.is_empty() => {}
+                // The client has left, whatever stands behind its request.
                 Poll::Ready(Ok(false)) => return Poll::Ready(Ok(())),
                 Poll::Ready(Err(e)) => return Poll::Ready(Err(e)),
                 Poll::Pending => {
--- a/agent/src/server.rs
+++ b/agent/src/server.rs
@@ -194,7 +194,7 @@
         line: Rc<Line>,
     ) -> Result<Response<Full<Bytes>>, Infallible> {
         let (mut answer, close) = match self.take(request, &line).await {
-            Ok(answer) => (answer, *self.draining.borrow() || self.taken(CROWDED)),
+            Ok(answer) => (answer, *self.draining.borrow() || self.taken(CROWDED) || line.excess()),
             // Who cannot word a request is not trusted with the rest of the connection.
             Err(answer) => (answer, true),
         };
--- a/agent/tests/attempts.rs
+++ b/agent/tests/attempts.rs
@@ -222,22 +222,14 @@
 /// that takes no connection until its backlog has room.
 #[tokio::test]
 async fn nothing_goes_out_for_a_client_that_left_while_connecting() {
-    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
-    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
-    let listener = socket.listen(1).expect("a listener");
-    let address = listener.local_addr().expect("an address");
-    // Two fill the backlog of one; a third connect stays under way until they are taken.
-    let mut fillers = Vec::new();
-    for _ in 0..2 {
-        fillers.push(tokio::net::TcpStream::connect(address).await.expect("a place in the backlog"));
-    }
+    let (listener, address, _fillers) = full().await;
     let directory = Directory::start(Mood::Mute).await;
     let mut config = config(directory.address, &[host("s", address, "up")]);
     config["settings"]["limits"]["connectTimeoutMs"] = 10_000.into();
     let agent = Agent::with(config, |_| {}).await;
     let mut client = agent.client().await;
     client.send(&request("POST", "/pay", "60000m", "b")).await;
-    tokio::time::sleep(Duration::from_millis(100)).await;
+    connecting(address).await;
     drop(client);
     tokio::time::sleep(Duration::from_millis(100)).await;
     // Now there is room: the connect comes up (the kernel tries again within a second or so) and waits unused.
--- a/agent/tests/common/mod.rs
+++ b/agent/tests/common/mod.rs
@@ -147,6 +147,30 @@
     (socket.local_addr().expect("an address"), socket)
 }
 
+/// An address that takes no further connection until those that fill its backlog are taken.
+pub async fn full() -> (TcpListener, SocketAddr, [TcpStream; 2]) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let listener = socket.listen(1).expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    // Two fill the backlog of one; a third connect stays under way until they are taken.
+    let filler = || async { TcpStream::connect(address).await.expect("a place in the backlog") };
+    let fillers = [filler().await, filler().await];
+    (listener, address, fillers)
+}
+
+/// Returns once a connect to the address is under way and has no answer yet.
+pub async fn connecting(address: SocketAddr) {
+    // As the kernel lists it: the remote end, then the state after SYN.
+    let line = format!(":{:04X} 02 ", address.port());
+    soon("a connect", async {
+        while !std::fs::read_to_string("/proc/net/tcp").expect("the kernel's list").contains(&line) {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    })
+    .await;
+}
+
 pub fn host(name: &str, address: SocketAddr, health: &str) -> Value {
     json!({"host": name, "dial": address.to_string(), "site": "a", "class": "m", "block": 0, "health": health,
            "share": 1.0, "born_ms": 0})
