Look again at the server once a connection to it is up

Seen in review: an attempt picked before the list tells that its server drains, has left or is a new process, and whose connection comes up after that, is written to it all the same, up to connectTimeoutMs past the limit.

Lines at fault, agent/src/upstream.rs: attempt() looked only at whether its request was over once connection() returned, and connection() began a connect to a server that was known to drain. park() had the check; it is now takes(), asked before each first byte as well. Such an attempt never ran (NotSent), and the request goes elsewhere.

Ruled out: kept connections (describe() drops the idle ones with the news, and a pick after it has other servers); probes are free to go anywhere.

a_connection_that_comes_up_after_its_server_has_left_is_not_written_to (agent/tests/attempts.rs): the connect stands until its backlog has room, which is after the news (draining, removed, absent, anew, moved). It fails without the change at 'draining: POST /pay HTTP/1.1' and passes with it.

--- a/agent/src/upstream.rs
+++ b/agent/src/upstream.rs
@@ -304,7 +304,7 @@
     async fn connection(self: &Rc<Self>, server: ServerId) -> Result<Connection, Outcome> {
         let (dial, life) = {
             let mut remotes = self.remotes.borrow_mut();
-            let remote = remotes.get_mut(&server).ok_or(Outcome::NotSent)?;
+            let remote = remotes.get_mut(&server).filter(|r| r.open).ok_or(Outcome::NotSent)?;
             while let Some(connection) = remote.idle.pop() {
                 if connection.idle_since.elapsed() < self.idle_most && connection.sender.is_ready() {
                     return Ok(connection);
@@ -347,10 +347,17 @@
         Some(Place(self.held.clone()))
     }
 
+    /// Whether the backend still takes new work, and is the one that the connection leads to.
+    fn takes(&self, connection: &Connection) -> bool {
+        let remotes = self.remotes.borrow();
+        remotes.get(&connection.server).is_some_and(|r| r.open && r.life == connection.life)
+    }
+
     fn park(&self, mut connection: Connection) {
-        let mut remotes = self.remotes.borrow_mut();
-        let Some(remote) = remotes.get_mut(&connection.server) else { return };
-        if remote.open && remote.life == connection.life && !connection.sender.is_closed() {
+        if !self.takes(&connection) || connection.sender.is_closed() {
+            return;
+        }
+        if let Some(remote) = self.remotes.borrow_mut().get_mut(&connection.server) {
             connection.idle_since = Instant::now();
             remote.idle.push(connection);
         }
@@ -369,9 +376,10 @@
                 Ok(connection) => connection,
                 Err(outcome) => return Some(Ended::without_answer(outcome)),
             };
-            if progress.stopped.get() {
+            // It may have come up late: by now the request may be over, and the backend have left.
+            if progress.stopped.get() || !self.takes(&connection) {
                 self.park(connection);
-                return None;
+                return Some(Ended::without_answer(Outcome::NotSent));
             }
             let whole = connection.wire.written.get() + length(&request);
             *progress.wire.borrow_mut() = Some((connection.wire.clone(), whole));
--- a/agent/tests/attempts.rs
+++ b/agent/tests/attempts.rs
@@ -2,6 +2,7 @@
 
 mod common;
 use common::*;
+use serde_json::json;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -312,3 +313,45 @@
         assert_eq!(backend.next().await.connection, connection);
     }
 }
+
+/// A connection that comes up after the list has told that its server drains, has left, was started anew or has
+/// moved: the attempt looks again, writes nothing there, and the request goes elsewhere.
+#[tokio::test]
+async fn a_connection_that_comes_up_after_its_server_has_left_is_not_written_to() {
+    let mut other = Backend::start(|_| Reply::Bytes(ok("other"))).await;
+    let (elsewhere, _reserved) = nobody();
+    for news in ["draining", "removed", "absent", "anew", "moved"] {
+        let (listener, address, _fillers) = full().await;
+        let mut directory = Directory::start(Mood::List(json!({"seq": 1, "whole": true, "hosts": []}))).await;
+        let mut config = config(directory.address, &[host("s", address, "up")]);
+        config["settings"]["limits"]["connectTimeoutMs"] = 20_000.into();
+        let agent = Agent::with(config, |_| {}).await;
+        directory.next_call().await;
+        let mut client = agent.client().await;
+        client.send(&request("POST", "/pay", "20000m", "b")).await;
+        connecting(address).await;
+        let mut told = host("s", address, if news == "draining" { news } else { "up" });
+        match news {
+            "removed" => told = json!({"host": "s", "health": "removed"}),
+            "anew" => told["born_ms"] = 1_700_000_000_000_u64.into(),
+            "moved" => told["dial"] = elsewhere.to_string().into(),
+            _ => {}
+        }
+        let mut hosts = vec![host("other", other.address, "up")];
+        if news != "absent" {
+            hosts.push(told);
+        }
+        directory.list(2, &hosts);
+        directory.next_call().await;
+        for _ in 0..2 {
+            soon("a filler", listener.accept()).await.expect("a filler");
+        }
+        let (mut stream, _) = soon("the agent's connection", listener.accept()).await.expect("a connection");
+        let written = soon("its end", read_message(&mut stream, 0)).await;
+        assert!(written.is_none(), "{news}: {}", written.expect("a message").first_line());
+        if news != "anew" {
+            assert_eq!(client.answer().await.body, b"other", "{news}");
+            other.next().await;
+        }
+    }
+}
