Let a connection rest before its next request, as a second answer may follow

One that is written between the two answers gets the second one as its own, whole and wrong.

Line at fault, agent/src/upstream.rs: connection() gave out a connection in the instant of its answer. It now waits for the 5 ms in which a connection has to settle (SETTLE, which was there for those that are not ready at once), and takes another that has rested if there is one. What comes meanwhile ends the connection, as before.

Ruled out: telling by the answer itself, which names no request in a header; opening a new connection instead of waiting, which costs the server 25 to 40 ms of work.

a_second_answer_is_not_given_to_the_next_request (agent/src/upstream.rs, time paused): without the change the next request is answered with 'second', with it over another connection with 'next'.

--- a/agent/src/upstream.rs
+++ b/agent/src/upstream.rs
@@ -24,7 +24,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::{oneshot, Notify};
 use tokio::task::JoinHandle;
-use tokio::time::{timeout, timeout_at, Instant};
+use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
 /// The longest body of either direction.
 pub const BODY_MOST: usize = 64 << 10;
@@ -33,7 +33,8 @@
 const IDLE_SHARE: f64 = 0.7;
 /// A probe that has not been answered by then has timed out.
 const PROBE_WAIT: Duration = Duration::from_millis(250);
-/// After a whole answer a connection is ready again at once, or there is something wrong with it.
+/// After a whole answer a connection is ready again at once, or there is something wrong with it; a second answer
+/// may follow some milliseconds later. Until then nothing is sent over it, or that would pass for the next one's.
 const SETTLE: Duration = Duration::from_millis(5);
 /// The longest head of an answer, and the most that hyper buffers.
 const HEAD_MOST: usize = 16 << 10;
@@ -299,18 +300,23 @@
         }
     }
 
-    /// The most recently used connection that still stands, or a fresh one. What this process lacks, a place or an
-    /// address, is no fault of the backend's.
+    /// The most recently used connection that still stands and has rested, or a fresh one. What this process lacks, a
+    /// place or an address, is no fault of the backend's.
     async fn connection(self: &Rc<Self>, server: ServerId) -> Result<Connection, Outcome> {
-        let (dial, life) = {
-            let mut remotes = self.remotes.borrow_mut();
-            let remote = remotes.get_mut(&server).filter(|r| r.open).ok_or(Outcome::NotSent)?;
-            while let Some(connection) = remote.idle.pop() {
-                if connection.idle_since.elapsed() < self.idle_most && connection.sender.is_ready() {
-                    return Ok(connection);
+        let (dial, life) = loop {
+            let rested = {
+                let mut remotes = self.remotes.borrow_mut();
+                let remote = remotes.get_mut(&server).filter(|r| r.open).ok_or(Outcome::NotSent)?;
+                remote.idle.retain(|c| c.idle_since.elapsed() < self.idle_most && c.sender.is_ready());
+                if let Some(rested) = remote.idle.iter().rposition(|c| c.idle_since.elapsed() >= SETTLE) {
+                    return Ok(remote.idle.remove(rested));
                 }
-            }
-            (remote.dial.ok_or(Outcome::NotSent)?, remote.life)
+                let Some(first) = remote.idle.first() else {
+                    break (remote.dial.ok_or(Outcome::NotSent)?, remote.life);
+                };
+                first.idle_since + SETTLE
+            };
+            sleep_until(rested).await;
         };
         let place = self.place().ok_or(Outcome::NotSent)?;
         // A task of its own: when its attempt is given up meanwhile, the connection, which has cost the
@@ -540,6 +546,49 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpListener;
+
+    /// The next request over a connection that has just brought an answer waits a moment: the second answer is there
+    /// before anything of that request is written, whose own answer comes over another connection.
+    #[tokio::test(start_paused = true)]
+    async fn a_second_answer_is_not_given_to_the_next_request() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let dial = listener.local_addr().expect("an address");
+        let (connect, keep) = (Duration::from_secs(60), Duration::from_secs(600));
+        let upstream = Rc::new(Upstream::new(10, connect, keep, Vec::new()));
+        let listed = serde_json::json!({"seq": 1, "hosts": [
+            {"host": "s", "dial": dial.to_string(), "health": "up"}]});
+        let listed = crate::discovery::parse_list(&listed).expect("a list");
+        upstream.describe(ServerId(0), &listed.hosts[0]);
+        let attempt = || {
+            let (upstream, request) = (upstream.clone(), Request::get("/").body(Full::default()));
+            async move {
+                let until = Instant::now() + Duration::from_secs(600);
+                let progress = Progress::default();
+                upstream.attempt(ServerId(0), request.expect("a request"), until, &progress).await.answer
+            }
+        };
+        let answer = |body: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        let serve = |body: &'static str| {
+            let listener = &listener;
+            async move {
+                let (mut stream, _) = listener.accept().await.expect("a connection");
+                let mut head = [0; 256];
+                assert!(stream.read(&mut head).await.expect("a request") > 0);
+                stream.write_all(answer(body).as_bytes()).await.expect("it is written");
+                stream
+            }
+        };
+        let play = async {
+            let (first, mut stream) = tokio::join!(attempt(), serve("first"));
+            assert_eq!(first.expect("an answer").1, "first");
+            stream.write_all(answer("second").as_bytes()).await.expect("it is written");
+            let (next, _stream) = tokio::join!(attempt(), async { timeout(connect, serve("next")).await });
+            assert_eq!(next.expect("an answer").1, "next");
+        };
+        tokio::task::LocalSet::new().run_until(play).await;
+    }
 
     #[test]
     fn reports_are_read_in_the_order_of_the_settings() {
