--- a/agent/tests/attempts.rs
+++ b/agent/tests/attempts.rs
@@ -355,3 +355,34 @@
         }
     }
 }
+
+/// A repeat must be on its way within its window. One whose connection may come up after it is not begun.
+#[tokio::test]
+async fn a_repeat_that_might_be_written_after_its_window_is_not_begun() {
+    for (window, repeated) in [(5_000, false), (60_000, true)] {
+        let word = Arc::new(Notify::new());
+        let gate = word.clone();
+        let mut first = Backend::start(move |_| Reply::When(gate.clone(), b"\0\xff\r\n\r\n".to_vec())).await;
+        let (_listener, address, _fillers) = full().await;
+        let mut directory = Directory::start(Mood::List(json!({"seq": 1, "whole": true, "hosts": []}))).await;
+        let mut config = config(directory.address, &[host("first", first.address, "up")]);
+        config["settings"]["limits"]["connectTimeoutMs"] = 20_000.into();
+        config["settings"]["classes"][1]["dedupWindowMs"] = window.into();
+        let agent = Agent::with(config, |_| {}).await;
+        directory.next_call().await;
+        let mut client = agent.client().await;
+        client.send(&request("POST", "/save", "60000m", "b")).await;
+        first.next().await;
+        directory.list(2, &[host("first", first.address, "draining"), host("next", address, "up")]);
+        directory.next_call().await;
+        word.notify_one();
+        let begun = tokio::select! {
+            () = connecting(address) => true,
+            answer = client.answer() => {
+                assert_eq!(answer.status(), 429, "all servers drop its repeats, so it may come again");
+                false
+            }
+        };
+        assert_eq!(begun, repeated, "{window}");
+    }
+}
