Count an answer as given only once it is written whole

Seen in review: a connection counts as idle from the moment its answer is decided.

Lines at fault: Line::answered() in agent/src/framing.rs went to Idle before hyper had written a byte; busy() and until() in agent/src/server.rs went by that. The new phase Answered lasts until hyper flushes with its own buffer empty; it is bounded by the longest deadline, for a client that never reads must not keep its place. What of a request still comes after an early answer no longer opens it again.

Ruled out: answers that the kernel has taken whole; it delivers them after the agent's end.

--- a/agent/src/framing.rs
+++ b/agent/src/framing.rs
@@ -32,6 +32,8 @@
     Arriving,
     /// A request is whole and has no answer yet.
     Open,
+    /// Its answer is decided and not yet written whole.
+    Answered,
     /// All that came has its answer.
     Idle,
 }
@@ -41,7 +43,7 @@
     phase: Cell<(Phase, Instant)>,
     ambiguous: Cell<bool>,
     excess: Cell<bool>,
-    answered: Cell<bool>,
+    written: Cell<bool>,
     waker: RefCell<Option<Waker>>,
 }
 
@@ -52,7 +54,7 @@
             phase: Cell::new((Phase::Mute, Instant::now())),
             ambiguous: Cell::new(false),
             excess: Cell::new(false),
-            answered: Cell::new(false),
+            written: Cell::new(false),
             waker: RefCell::new(None),
         })
     }
@@ -62,8 +64,10 @@
         self.phase.get()
     }
 
+    /// What still comes of a request that is answered already does not open it again.
     fn enter(&self, phase: Phase) {
-        if self.phase.get().0 != phase {
+        let present = self.phase.get().0;
+        if present != phase && (present != Phase::Answered || phase == Phase::Idle) {
             self.phase.set((phase, Instant::now()));
         }
     }
@@ -78,12 +82,19 @@
         self.excess.get()
     }
 
-    /// The present request has its answer; the next one may be read.
+    /// The present request's answer is decided.
     pub fn answered(&self) {
-        self.enter(Phase::Idle);
-        self.answered.set(true);
-        if let Some(waker) = self.waker.borrow_mut().take() {
-            waker.wake();
+        self.enter(Phase::Answered);
+    }
+
+    /// All that was to be written has been; after an answer the next request may be read.
+    fn flushed(&self) {
+        if self.phase.get().0 == Phase::Answered {
+            self.enter(Phase::Idle);
+            self.written.set(true);
+            if let Some(waker) = self.waker.borrow_mut().take() {
+                waker.wake();
+            }
         }
     }
 }
@@ -237,7 +248,7 @@
         mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
         let this = &mut *self;
-        if this.line.answered.take() {
+        if this.line.written.take() {
             this.turn();
         }
         loop {
@@ -278,7 +289,10 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_flush(cx)
+        ready!(Pin::new(&mut self.io).poll_flush(cx))?;
+        // hyper asks for this once its own buffer is empty.
+        self.line.flushed();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -56,7 +56,7 @@
     let clients = (sockets as f64 * CLIENT_SHARE) as usize;
     let driver = Driver::start(config, sockets - clients).map_err(|e| e.to_string())?;
     let mut driven = tokio::task::spawn_local(driver.clone().run());
-    let server = Server::new(driver.clone(), clients);
+    let server = Server::new(driver.clone(), clients, Duration::from_micros(longest.0));
     let accepting = tokio::task::spawn_local(server.clone().accept(listener));
     eprintln!("{name}: listening on {address}");
 
--- a/agent/src/server.rs
+++ b/agent/src/server.rs
@@ -64,6 +64,8 @@
     driver: Rc<Driver>,
     draining: watch::Sender<bool>,
     most: usize,
+    /// The longest that a client waits for an answer.
+    longest: Duration,
     held: RefCell<HashMap<u64, Held>>,
     freed: Notify,
     /// Ids of the requests that are open.
@@ -71,12 +73,13 @@
 }
 
 impl Server {
-    /// Serves at most `connections` at a time.
-    pub fn new(driver: Rc<Driver>, connections: usize) -> Rc<Self> {
+    /// Serves at most `connections` at a time, whose clients wait for an answer no longer than `longest`.
+    pub fn new(driver: Rc<Driver>, connections: usize, longest: Duration) -> Rc<Self> {
         Rc::new(Server {
             driver,
             draining: watch::Sender::new(false),
             most: connections,
+            longest,
             held: RefCell::default(),
             freed: Notify::new(),
             ids: RefCell::default(),
@@ -117,7 +120,7 @@
         let spare = |h: &&Held| match h.line.phase() {
             (Phase::Mute, since) => since.elapsed() >= MUTE_LEAST,
             (Phase::Idle, since) => since.elapsed() >= IDLE_LEAST,
-            (Phase::Arriving | Phase::Open, _) => false,
+            (Phase::Arriving | Phase::Open | Phase::Answered, _) => false,
         };
         let rank = |h: &&Held| (h.line.phase().0 == Phase::Idle, h.line.phase().1);
         if let Some(held) = held.values().filter(spare).min_by_key(rank) {
@@ -130,10 +133,10 @@
         self.draining.send_replace(true);
     }
 
-    /// Whether any request is on its way in or has no answer yet.
+    /// Whether any request is on its way in, has no answer yet or has not been written it whole.
     pub fn busy(&self) -> bool {
         let phase = |held: &Held| held.line.phase().0;
-        self.held.borrow().values().any(|held| matches!(phase(held), Phase::Arriving | Phase::Open))
+        self.held.borrow().values().any(|held| !matches!(phase(held), Phase::Mute | Phase::Idle))
     }
 
     /// Whether so large a share of the places is taken.
@@ -150,6 +153,8 @@
             (Phase::Arriving, since) => since + READ_MOST,
             // A request that is whole ends by its deadline.
             (Phase::Open, _) => Instant::now() + LOOK,
+            // By then its client waits for it no more.
+            (Phase::Answered, since) => since + self.longest.max(IDLE_LEAST),
             (Phase::Idle, since) => since + if short { IDLE_LEAST } else { IDLE_MOST },
         }
     }
@@ -179,7 +184,7 @@
                 _ = draining.wait_for(|on| *on), if !told => {
                     told = true;
                     // A request that is on its way, or is the first, is still answered; that closes.
-                    if line.phase().0 == Phase::Idle {
+                    if matches!(line.phase().0, Phase::Idle | Phase::Answered) {
                         connection.as_mut().graceful_shutdown();
                     }
                 }
@@ -411,7 +416,8 @@
             known: List::default(),
         };
         let serve = async {
-            let server = Server::new(Driver::start(config, 10).expect("a driver"), 10);
+            let driver = Driver::start(config, 10).expect("a driver");
+            let server = Server::new(driver, 10, Duration::from_secs(1));
             let (stream, mut client) = optionless();
             client.write_all(b"GET /ready HTTP/1.1\r\nhost: a\r\n\r\n").await.expect("it is written");
             let mut answer = [0; 12];
