End by what is still held, with the queue taken and answers given before SIGKILL

Seen in review: at a planned end the accepting task is aborted after 0.65 s, and what it waits to give a place, and all that waits in the listener's queue, is reset.

Lines at fault, agent/src/main.rs: accepting.abort(), and 'last', which took the deadlines as they are. The server owns its end now (Server::drain): it goes on accepting until the time for that is over and nothing has come of the queue for 20 ms, gives what is open at SIGKILL's time less 50 ms its answer (504), and is over once every connection is. A mute connection has until the accepting is over, and 100 ms at least, to speak.

Ruled out: shortening what the decisions are told of the time left; they take that for a repeat and refuse it.

agent/tests/ends.rs: what_waits_in_the_queue_is_taken_and_answered and what_hangs_past_the_last_moment_is_answered_before_it fail without the change, at a connection that ends with no answer and at an answer that does not come, and pass with it. What becomes whole after the signal was answered before and is guarded now, and so is that mute and idle connections do not delay the end.

--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -15,14 +15,11 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::time::{sleep, Instant};
 
 /// Descriptors that are neither the application's nor the backends': files, discovery, the runtime's own.
 const SPARE_SOCKETS: usize = 24;
 /// The part of the others that is the application's, which holds a third of all at most for its requests.
 const CLIENT_SHARE: f64 = 0.5;
-/// Answers that are decided are written within this.
-const FLUSH: Duration = Duration::from_millis(30);
 
 fn main() -> ExitCode {
     match start() {
@@ -75,19 +72,7 @@
             _ = &mut driven => return Err("the decisions have stopped".into()),
         }
     }
-    let told = Instant::now();
-    server.drain();
-    sleep(server::ACCEPT_ON).await;
-    accepting.abort();
-    // What is in flight has its deadline; past the longest one nothing is owed any more.
-    let last = told + server::ACCEPT_ON + Duration::from_micros(longest.0);
-    loop {
-        sleep(FLUSH).await;
-        if !server.busy() || Instant::now() >= last {
-            break;
-        }
-    }
-    sleep(FLUSH).await;
+    server.drain(accepting).await;
     eprintln!("{name}: all is answered");
     Ok(())
 }
--- a/agent/src/server.rs
+++ b/agent/src/server.rs
@@ -15,12 +15,14 @@
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
+use std::future::pending;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify};
-use tokio::time::{sleep_until, timeout, timeout_at, Instant};
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
 
 /// The part of a client's wait that is kept for writing the answer.
 const ANSWER_ROOM: Duration = Duration::from_millis(6);
@@ -51,7 +53,20 @@
 /// Pause after an accept that failed, or descriptors that have run out would make the loop spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// After SIGTERM new connections go on coming for a while; each is still taken.
-pub const ACCEPT_ON: Duration = Duration::from_millis(650);
+const ACCEPT_ON: Duration = Duration::from_millis(650);
+/// SIGKILL follows no sooner than 0.7 s and the longest deadline after SIGTERM; one over this counts as this.
+const DEADLINE_MOST: Duration = Duration::from_secs(3);
+/// The last answers are written within this.
+const FLUSH: Duration = Duration::from_millis(30);
+
+/// The times of a planned end.
+#[derive(Clone, Copy)]
+struct End {
+    /// Until then new connections are taken.
+    accept: Instant,
+    /// Then every request has its answer.
+    answer: Instant,
+}
 
 /// A connection that has been taken.
 struct Held {
@@ -62,7 +77,7 @@
 /// The listening side and the connections it has taken.
 pub struct Server {
     driver: Rc<Driver>,
-    draining: watch::Sender<bool>,
+    end: watch::Sender<Option<End>>,
     most: usize,
     /// The longest that a client waits for an answer.
     longest: Duration,
@@ -77,7 +92,7 @@
     pub fn new(driver: Rc<Driver>, connections: usize, longest: Duration) -> Rc<Self> {
         Rc::new(Server {
             driver,
-            draining: watch::Sender::new(false),
+            end: watch::Sender::new(None),
             most: connections,
             longest,
             held: RefCell::default(),
@@ -86,14 +101,25 @@
         })
     }
 
-    /// Takes connections until it is dropped. Each is taken at once; where there is no place for it, one that
-    /// nobody needs gives way, so that hundreds that say nothing do not shut the others out.
+    /// Takes connections until a planned end. Each is taken at once; where there is no place for it, one that nobody
+    /// needs gives way, so that hundreds that say nothing do not shut the others out.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+        let mut end = self.end.subscribe();
         for number in 0.. {
             let stream = loop {
-                match listener.accept().await {
-                    Ok((stream, _)) => break stream,
-                    Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+                // At the end what waits in the queue is taken too: it is empty once nothing comes of it for a moment.
+                let over = async {
+                    let end = end.wait_for(Option::is_some).await.ok().and_then(|end| *end);
+                    let quiet = Instant::now() + ACCEPT_PAUSE;
+                    sleep_until(end.map_or(quiet, |end| quiet.max(end.accept))).await;
+                };
+                tokio::select! {
+                    biased;
+                    taken = listener.accept() => match taken {
+                        Ok((stream, _)) => break stream,
+                        Err(_) => sleep(ACCEPT_PAUSE).await,
+                    },
+                    () = over => return,
                 }
             };
             while self.held.borrow().len() >= self.most {
@@ -128,15 +154,30 @@
         }
     }
 
-    /// Says `Connection: close` from now on and closes what is idle.
-    pub fn drain(&self) {
-        self.draining.send_replace(true);
+    /// A planned end: says `Connection: close` from now on, closes what is idle, and returns once `accepting` has
+    /// taken what still came and every connection has its last answer, or when SIGKILL is due.
+    pub async fn drain(&self, accepting: JoinHandle<()>) {
+        let accept = Instant::now() + ACCEPT_ON;
+        let answer = accept + self.longest.min(DEADLINE_MOST);
+        self.end.send_replace(Some(End { accept, answer }));
+        let emptied = async {
+            // It ends by itself.
+            let _ = accepting.await;
+            while !self.held.borrow().is_empty() {
+                self.freed.notified().await;
+            }
+        };
+        let _ = timeout_at(answer + FLUSH, emptied).await;
     }
 
-    /// Whether any request is on its way in, has no answer yet or has not been written it whole.
-    pub fn busy(&self) -> bool {
-        let phase = |held: &Held| held.line.phase().0;
-        self.held.borrow().values().any(|held| !matches!(phase(held), Phase::Mute | Phase::Idle))
+    /// Resolves when a planned end leaves no more time for answers.
+    async fn last_answers(&self) {
+        let mut end = self.end.subscribe();
+        let end = end.wait_for(Option::is_some).await.ok().and_then(|end| *end);
+        match end {
+            Some(end) => sleep_until(end.answer).await,
+            None => pending().await,
+        }
     }
 
     /// Whether so large a share of the places is taken.
@@ -147,7 +188,7 @@
     /// Until when a connection may go on as it is.
     fn until(&self, line: &Line, taken: Instant) -> Instant {
         let short = self.taken(SHORT);
-        match line.phase() {
+        let until = match line.phase() {
             (Phase::Mute, _) => taken + READ_MOST,
             (Phase::Arriving, since) if since.duration_since(taken) < READ_MOST => taken + READ_MOST,
             (Phase::Arriving, since) => since + READ_MOST,
@@ -156,6 +197,11 @@
             // By then its client waits for it no more.
             (Phase::Answered, since) => since + self.longest.max(IDLE_LEAST),
             (Phase::Idle, since) => since + if short { IDLE_LEAST } else { IDLE_MOST },
+        };
+        match (line.phase().0, *self.end.borrow()) {
+            // Who connects to ask has asked by now; no others come.
+            (Phase::Mute, Some(end)) => until.min(end.accept.max(taken + MUTE_LEAST)),
+            _ => until,
         }
     }
 
@@ -163,7 +209,7 @@
         // Without it answers of one connection may wait for each other's acknowledgement; that beats no answer.
         let _ = stream.set_nodelay(true);
         let taken = Instant::now();
-        let mut draining = self.draining.subscribe();
+        let mut end = self.end.subscribe();
         let (server, read) = (self.clone(), line.clone());
         let service = service_fn(move |request| server.clone().answer(request, read.clone()));
         let mut builder = http1::Builder::new();
@@ -181,10 +227,10 @@
                 // An error here is the client's leaving or its bad bytes; both concern this connection alone.
                 _ = connection.as_mut() => return,
                 () = leave.notified() => return,
-                _ = draining.wait_for(|on| *on), if !told => {
+                _ = end.wait_for(Option::is_some), if !told => {
                     told = true;
                     // A request that is on its way, or is the first, is still answered; that closes.
-                    if matches!(line.phase().0, Phase::Idle | Phase::Answered) {
+                    if !matches!(line.phase().0, Phase::Mute | Phase::Arriving) {
                         connection.as_mut().graceful_shutdown();
                     }
                 }
@@ -199,7 +245,7 @@
         line: Rc<Line>,
     ) -> Result<Response<Full<Bytes>>, Infallible> {
         let (mut answer, close) = match self.take(request, &line).await {
-            Ok(answer) => (answer, *self.draining.borrow() || self.taken(CROWDED) || line.excess()),
+            Ok(answer) => (answer, self.end.borrow().is_some() || self.taken(CROWDED) || line.excess()),
             // Who cannot word a request is not trusted with the rest of the connection.
             Err(answer) => (answer, true),
         };
@@ -219,7 +265,7 @@
             return Err(plain(StatusCode::BAD_REQUEST, "the request's length can be read in two ways"));
         }
         if request.uri().path() == "/ready" {
-            let ready = self.driver.ready() && !*self.draining.borrow();
+            let ready = self.driver.ready() && self.end.borrow().is_none();
             return Ok(if ready {
                 plain(StatusCode::OK, "ready")
             } else {
@@ -234,10 +280,14 @@
         let (id, answer) = self.driver.submit(arrival);
         // When the client leaves, hyper drops this future, and the guard tells the balancer.
         let _owed = Owed(&self.driver, id);
-        Ok(match timeout_at(deadline + OVERDUE, answer).await {
-            Ok(Ok(answer)) => word(answer),
-            Ok(Err(_)) => plain(StatusCode::BAD_GATEWAY, "no answer was decided"),
-            Err(_) => plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
+        let answer = tokio::select! {
+            answer = timeout_at(deadline + OVERDUE, answer) => answer.ok(),
+            () = self.last_answers() => None,
+        };
+        Ok(match answer {
+            Some(Ok(answer)) => word(answer),
+            Some(Err(_)) => plain(StatusCode::BAD_GATEWAY, "no answer was decided"),
+            None => plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
         })
     }
 
--- a/agent/tests/ends.rs
+++ b/agent/tests/ends.rs
@@ -3,8 +3,10 @@
 mod common;
 use common::*;
 use serde_json::Value;
-use std::time::Duration;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 use tokio::net::TcpSocket;
+use tokio::sync::Notify;
 use tokio::time::sleep;
 
 /// Past the time in which new connections are taken, and well before SIGKILL with deadlines of 3 s.
@@ -75,3 +77,114 @@
     let answer = client.answer().await;
     assert_eq!((answer.status(), answer.body.len()), (200, 64 << 10));
 }
+
+/// All places are taken and their requests open. What waits in the listener's queue when the time for new connections
+/// is over is taken and answered once there is room.
+#[tokio::test]
+async fn what_waits_in_the_queue_is_taken_and_answered() {
+    let word = Arc::new(Notify::new());
+    let gate = word.clone();
+    let mut backend = Backend::start(move |m| match m.head.contains("/pay") {
+        true => Reply::When(gate.clone(), ok("x")),
+        false => Reply::Bytes(ok("x")),
+    })
+    .await;
+    let adapt = |config: &mut Value| {
+        config["limits"]["sockets"] = 80.into();
+        // With this aim they are held for long.
+        config["settings"]["classes"][0]["aimMs"] = 30_000.into();
+    };
+    let (_directory, mut agent) = world(&backend, adapt).await;
+    let mut open = Vec::new();
+    for _ in 0..2 {
+        open.push(agent.client().await);
+        open.last_mut().expect("it is there").send(&request("POST", "/pay", "60000m", "b")).await;
+        backend.next().await;
+    }
+    // These are held, for the backend has all that it is thought to bear.
+    for _ in 2..28 {
+        open.push(agent.client().await);
+        open.last_mut().expect("it is there").send(&request("GET", "/read", "60000m", "")).await;
+    }
+    let mut queue = Vec::new();
+    for _ in 0..4 {
+        queue.push(agent.client().await);
+        queue.last_mut().expect("it is there").send(&request("GET", "/read", "60000m", "")).await;
+    }
+    agent.term().await;
+    sleep(LATER).await;
+    word.notify_one();
+    word.notify_one();
+    for client in open.iter_mut().chain(&mut queue) {
+        let answer = client.answer().await;
+        assert!(matches!(answer.status(), 200 | 429), "{}", answer.status());
+        assert_eq!(answer.header("connection"), Some("close"));
+    }
+    assert!(agent.end().await.success());
+}
+
+/// Clients may wait longer than SIGKILL does. What hangs then is answered as failed before it comes.
+#[tokio::test]
+async fn what_hangs_past_the_last_moment_is_answered_before_it() {
+    let mut backend = Backend::start(|_| Reply::Mute).await;
+    let (_directory, mut agent) = world(&backend, |_| {}).await;
+    let mut early = agent.client().await;
+    early.send(&request("POST", "/pay", "60000m", "b")).await;
+    backend.next().await;
+    let told = Instant::now();
+    agent.term().await;
+    let mut late = agent.client().await;
+    late.send(&request("POST", "/pay", "60000m", "b")).await;
+    backend.next().await;
+    for client in [&mut early, &mut late] {
+        assert_eq!(client.answer().await.status(), 504);
+        client.closed().await;
+    }
+    // 3.65 s with some room for a machine under load; the deadlines are 60 s.
+    assert!(told.elapsed() < Duration::from_secs(15), "{:?}", told.elapsed());
+    assert!(agent.end().await.success());
+}
+
+/// A connection that has said nothing, one with half a head and one with half a body when SIGTERM comes: each request
+/// that becomes whole is answered, after a second SIGTERM too.
+#[tokio::test]
+async fn what_becomes_whole_after_the_signal_is_answered() {
+    let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let (_directory, mut agent) = world(&backend, |_| {}).await;
+    let text = request("POST", "/pay", "60000m", "the body");
+    let other = request("POST", "/pay", "60000m", "the body");
+    let third = request("POST", "/pay", "60000m", "the body");
+    let mut clients = [(0, &text), (40, &other), (third.len() - 3, &third)].map(|(n, text)| (n, text, None));
+    for (sent, text, client) in &mut clients {
+        let mut connected = agent.client().await;
+        connected.send(&text[..*sent]).await;
+        *client = Some(connected);
+    }
+    agent.ready().await;
+    agent.term().await;
+    for (sent, text, client) in &mut clients {
+        agent.term().await;
+        let client = client.as_mut().expect("it is there");
+        client.send(&text[*sent..]).await;
+        let answer = client.answer().await;
+        assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")), "{sent}");
+        client.closed().await;
+    }
+    assert!(agent.end().await.success());
+}
+
+/// Nothing keeps the agent from its end for long: neither mute connections nor idle ones.
+#[tokio::test]
+async fn mute_and_idle_connections_do_not_delay_the_end() {
+    let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let (_directory, mut agent) = world(&backend, |_| {}).await;
+    let mut mute = agent.client().await;
+    let mut idle = agent.client().await;
+    assert_eq!(idle.ask(&request("GET", "/read", "60000m", "")).await.status(), 200);
+    let told = Instant::now();
+    agent.term().await;
+    idle.closed().await;
+    assert!(agent.end().await.success());
+    mute.closed().await;
+    assert!(told.elapsed() >= Duration::from_millis(600), "new connections are taken for a while");
+}
