Heed a new configuration during a planned end

Seen in review: a SIGHUP after SIGTERM is taken and not acted on, so what is still open goes by a discovery that has closed. Lines at fault, agent/src/main.rs: SIGHUP was awaited only in the loop that SIGTERM ends; a task of its own heeds it now as long as the process lives.

Ruled out: a second SIGTERM, which changes nothing (what_becomes_whole_after_the_signal_is_answered sends three).

a_new_configuration_during_the_end_is_heeded (agent/tests/ends.rs) fails without the change, for the new discovery is never called, and passes with it.

--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -12,9 +12,10 @@
 use driver::Driver;
 use server::Server;
 use std::process::ExitCode;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 
 /// Descriptors that are neither the application's nor the backends': files, discovery, the runtime's own.
 const SPARE_SOCKETS: usize = 24;
@@ -43,7 +44,7 @@
 /// Serves until SIGTERM, and then until all that came is answered. SIGHUP has the file read again.
 async fn serve(config: Config) -> Result<(), String> {
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("cannot await SIGTERM: {e}"))?;
-    let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("cannot await SIGHUP: {e}"))?;
+    let hangup = signal(SignalKind::hangup()).map_err(|e| format!("cannot await SIGHUP: {e}"))?;
     let listen = config.listen;
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
     let address = listener.local_addr().map_err(|e| format!("cannot listen on {listen}: {e}"))?;
@@ -57,22 +58,26 @@
     let accepting = tokio::task::spawn_local(server.clone().accept(listener));
     eprintln!("{name}: listening on {address}");
 
-    loop {
-        tokio::select! {
-            _ = term.recv() => break,
-            _ = hangup.recv() => match config::discovery(|name| std::env::var(name).ok()) {
-                Ok(address) => {
-                    eprintln!("{name}: discovery is at {address}");
-                    driver.relocate(address);
-                }
-                Err(why) => eprintln!("{name}: SIGHUP: {why}; all stays as it was"),
-            },
-            // Without its clock the agent would take requests and answer none: better that it ends and is
-            // restarted.
-            _ = &mut driven => return Err("the decisions have stopped".into()),
-        }
+    tokio::task::spawn_local(reconfigure(hangup, driver, name.clone()));
+    tokio::select! {
+        _ = term.recv() => {}
+        // Without its clock the agent would take requests and answer none: better that it ends and is restarted.
+        _ = &mut driven => return Err("the decisions have stopped".into()),
     }
     server.drain(accepting).await;
     eprintln!("{name}: all is answered");
     Ok(())
 }
+
+/// Has the file read again at each SIGHUP, during a planned end too.
+async fn reconfigure(mut hangup: Signal, driver: Rc<Driver>, name: String) {
+    while hangup.recv().await.is_some() {
+        match config::discovery(|name| std::env::var(name).ok()) {
+            Ok(address) => {
+                eprintln!("{name}: discovery is at {address}");
+                driver.relocate(address);
+            }
+            Err(why) => eprintln!("{name}: SIGHUP: {why}; all stays as it was"),
+        }
+    }
+}
--- a/agent/tests/ends.rs
+++ b/agent/tests/ends.rs
@@ -5,6 +5,7 @@
 use serde_json::Value;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpSocket;
 use tokio::sync::Notify;
 use tokio::time::sleep;
@@ -188,3 +189,28 @@
     mute.closed().await;
     assert!(told.elapsed() >= Duration::from_millis(600), "new connections are taken for a while");
 }
+
+/// A new configuration during the end is heeded: what is still open goes by the new discovery.
+#[tokio::test]
+async fn a_new_configuration_during_the_end_is_heeded() {
+    let word = Arc::new(Notify::new());
+    let gate = word.clone();
+    let mut backend = Backend::start(move |_| Reply::When(gate.clone(), ok("x"))).await;
+    let (mut directory, mut new) = (Directory::start(Mood::Mute).await, Directory::start(Mood::Mute).await);
+    let mut config = config(directory.address, &[host("s", backend.address, "up")]);
+    let mut agent = Agent::with(config.clone(), |_| {}).await;
+    directory.next_call().await;
+    let mut client = agent.client().await;
+    client.send(&request("POST", "/pay", "60000m", "b")).await;
+    backend.next().await;
+    config["discovery"] = new.address.to_string().into();
+    agent.replace(&config.to_string());
+    agent.term().await;
+    agent.hang_up().await;
+    assert_eq!(new.next_call().await, "/v1/endpoints");
+    word.notify_one();
+    assert_eq!(client.answer().await.status(), 200);
+    let mut rest = Vec::new();
+    assert_eq!(client.stream.read_to_end(&mut rest).await.expect("a close"), 0);
+    assert!(agent.end().await.success());
+}
