Begin a failed watch anew well within a drain's time, however often it failed

Seen in review: what discovery has counts as told whether a watch is open or not. After a watch has failed the agent paused 0.2 s, doubled at each failure up to a quarter of askWithinMs, 2.5 s here and 3.75 s with its jitter; a drain told in that pause is broken 0.3 s later, and 4 s after SIGHUP the new discovery's list may not be there.

On sockets discovery is on the agent's own machine and answers at once and at no cost; the pause is bounded by a quarter of the drain's time (62 ms of 250 here) now.

Ruled out: a watch that falls silent. It is given up 1.5 s after its wait, and with a pause that no longer grows the next call is out before 2 s are over each time, not only the first.

the_pause_after_a_failed_watch_does_not_outgrow_a_drain (agent/tests/service.rs): twelve calls take over 6 s without the change and at most 1.5 s with it.

--- a/agent/src/config.rs
+++ b/agent/src/config.rs
@@ -88,6 +88,9 @@
         let mut settings = micasail_settings::settings(&file.settings);
         // Nothing is pushed over these sockets: the list comes to whoever keeps up a watch.
         settings.discovery = Discovery::OnRequest;
+        // And what discovery has counts as told whether a watch is open or not, so that one that broke must be begun
+        // anew well within a drain's time, however often it has.
+        settings.ask_within = settings.ask_within.min(settings.drain_grace);
         settings.check().map_err(|e| e.to_string())?;
         let names = micasail_settings::names(&file.settings);
         // A repeat is written up to a connect's time after it is decided, and must be within its window.
--- a/agent/tests/service.rs
+++ b/agent/tests/service.rs
@@ -141,6 +141,23 @@
     assert_eq!(agent.get("/read").await.status(), 200);
 }
 
+/// What discovery gets while no watch is open counts as told at once, so the pause before the next one stays short,
+/// however many have failed.
+#[tokio::test]
+async fn the_pause_after_a_failed_watch_does_not_outgrow_a_drain() {
+    let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let mut directory = Directory::start(Mood::Down).await;
+    let mut config = config(directory.address, &[host("s", backend.address, "up")]);
+    config["settings"]["rules"]["stopSendingWithinMs"] = 200.into();
+    let _agent = Agent::with(config, |_| {}).await;
+    let begun = Instant::now();
+    for _ in 0..12 {
+        directory.next_call().await;
+    }
+    // At most 125 ms each. Doubled each time they would come to 8 s at the least.
+    assert!(begun.elapsed() < Duration::from_secs(6), "{:?}", begun.elapsed());
+}
+
 /// After SIGTERM: idle connections close, what is in flight is answered, connections that come late are still
 /// taken, each answer says that it is the last, and the agent ends by itself.
 #[tokio::test]
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -836,8 +836,9 @@
         let (lines, complete) = match update {
             ListUpdate::Failed => {
                 let jitter = 0.5 + self.rng.f64();
-                self.ask_at = Some(now + self.ask_pause * jitter);
-                self.ask_pause = (self.ask_pause * 2.0).min(self.settings.ask_within * 0.25);
+                let most = self.settings.ask_within * 0.25;
+                self.ask_at = Some(now + self.ask_pause.min(most) * jitter);
+                self.ask_pause = (self.ask_pause * 2.0).min(most);
                 return;
             }
             ListUpdate::Changes(lines) => (lines, false),
