Read no list that the smallest agent's memory could not hold

Seen in review: a list of up to 4 MiB was read whole and taken apart, which takes 55 MB where it is made of small parts; the smallest agents have 32 MB and are killed over that.

Line at fault, agent/src/discovery.rs: LIST_MOST, 4 MiB. What is known was and is kept through any list that can't be read.

--- a/agent/src/discovery.rs
+++ b/agent/src/discovery.rs
@@ -21,8 +21,8 @@
 /// A call that has said nothing this long after it should have is mute: discovery is down or cut off. What it had
 /// to tell counts as told 2 s after its wait; by then the next call must have been made.
 const MUTE: Duration = Duration::from_millis(1_500);
-/// The longest list that is read.
-const LIST_MOST: usize = 4 << 20;
+/// The longest list that is read. Taken apart, one may take ten times its length, and memory may be 32 MB.
+const LIST_MOST: usize = 1 << 20;
 
 /// A server list or a change of one, as discovery words it.
 #[derive(Debug, Clone, Default, PartialEq)]
--- a/agent/tests/common/mod.rs
+++ b/agent/tests/common/mod.rs
@@ -344,6 +344,14 @@
         assert!(sent.success());
     }
 
+    /// The most memory that it has held so far.
+    pub fn memory_most_kb(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id().expect("it runs")));
+        let status = status.expect("its status");
+        let most = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("its memory");
+        most.trim().trim_end_matches(" kB").parse().expect("a number")
+    }
+
     /// Replaces the file of its configuration.
     pub fn replace(&self, text: &str) {
         std::fs::write(&self.file, text).expect("a file");
--- a/agent/tests/service.rs
+++ b/agent/tests/service.rs
@@ -158,6 +158,36 @@
     assert!(begun.elapsed() < Duration::from_secs(6), "{:?}", begun.elapsed());
 }
 
+/// A list that is broken or has no end: what is known stands, memory stays small, and the next good one is taken.
+#[tokio::test]
+async fn a_broken_or_oversized_list_costs_nothing_of_what_is_known() {
+    let old = Backend::start(|_| Reply::Bytes(ok("old"))).await;
+    let new = Backend::start(|_| Reply::Bytes(ok("new"))).await;
+    let mut directory = Directory::start(Mood::Mute).await;
+    let mut config = config(directory.address, &[host("old", old.address, "up")]);
+    config["settings"]["rules"]["stopSendingWithinMs"] = 200.into();
+    let agent = Agent::with(config, |_| {}).await;
+    directory.next_call().await;
+    let nested = |depth: usize| (0..depth).fold(json!([]), |inner, _| json!([inner]));
+    for broken in [
+        json!({"seq": 7, "whole": true}),
+        json!({"seq": 7, "whole": true, "hosts": {}}),
+        json!({"seq": 7, "whole": true, "hosts": [], "deep": nested(200)}),
+        json!({"seq": 7, "whole": true, "hosts": {}, "filler": vec![json!([]); 1_300_000]}),
+    ] {
+        while directory.calls.try_recv().is_ok() {}
+        directory.mood.send_replace(Mood::List(broken));
+        // One that may have been under way, one that got this, and one that shows that it has been looked at.
+        for _ in 0..3 {
+            directory.next_call().await;
+        }
+        assert_eq!(agent.get("/read").await.body, b"old");
+    }
+    assert!(agent.memory_most_kb() < 32 << 10, "{} kB", agent.memory_most_kb());
+    directory.list(8, &[host("new", new.address, "up")]);
+    soon("the good list", async { while agent.get("/read").await.body != b"new" {} }).await;
+}
+
 /// After SIGTERM: idle connections close, what is in flight is answered, connections that come late are still
 /// taken, each answer says that it is the last, and the agent ends by itself.
 #[tokio::test]
