Take no answer that comes before its request is whole, and send no more of that

Seen in review: a server begins a request with its last byte. An answer ahead of that was taken as the request's own, be it what came late for another; and where it turned the request away, the rest of the request was still written while the connection had 5 ms to settle, so that it could run beside its repeat.

Line at fault, agent/src/upstream.rs: exchange() did not ask whether the request was out when its answer's head came. Such an answer ends the connection now; served, it counts as an attempt that never ran.

Ruled out: an answer that was on its way when the last byte went out; from there on it may be the request's.

an_answer_ahead_of_the_last_byte_is_none_and_ends_its_connection (agent/tests/attempts.rs; narrow segments, so that the request is stuck half way): without the change the first answer is passed on and no repeat comes.

--- a/agent/src/upstream.rs
+++ b/agent/src/upstream.rs
@@ -389,7 +389,7 @@
             }
             let whole = connection.wire.written.get() + length(&request);
             *progress.wire.borrow_mut() = Some((connection.wire.clone(), whole));
-            self.exchange(connection, request).await
+            self.exchange(connection, request, whole).await
         };
         let ended = tokio::select! {
             biased;
@@ -418,7 +418,8 @@
                 (Err(outcome), _) => return Ended::without_answer(outcome),
                 (Ok(_), Err(_)) => return Ended::without_answer(Outcome::NotSent),
             };
-            let ended = self.exchange(connection, request).await;
+            let whole = connection.wire.written.get() + length(&request);
+            let ended = self.exchange(connection, request, whole).await;
             let mut ended = ended.unwrap_or(Ended::without_answer(Outcome::ConnectionReset));
             if let (None, Some((_, body))) = (&ended.report, &ended.answer) {
                 ended.report =
@@ -429,14 +430,23 @@
         timeout(PROBE_WAIT, exchange).await.unwrap_or(Ended::without_answer(Outcome::TimedOut))
     }
 
-    /// One request and its whole answer over a connection; `None` if that broke on the way.
+    /// One request and its whole answer over a connection; `None` if that broke on the way. The request's last byte is
+    /// out when `whole` bytes have been written.
     async fn exchange(
         self: &Rc<Self>,
         mut connection: Connection,
         request: Request<Full<Bytes>>,
+        whole: u64,
     ) -> Option<Ended> {
         connection.wire.readable.set(ANSWER_MOST);
         let response = connection.sender.send_request(request).await.ok()?;
+        // A backend begins with the last byte. What is served before it has come is something else, and who turns the
+        // request away must not get the rest of it.
+        if connection.wire.written.get() < whole {
+            connection.wire.shut.set(true);
+            let (outcome, report) = self.judge(&response);
+            return (outcome != Outcome::Success).then_some(Ended { outcome, report, answer: None });
+        }
         let headers = response.headers();
         // Two lengths are none: hyper would go by one of them, and what it then took for the answer need not be.
         let lengths = headers.get_all(CONTENT_LENGTH).iter().count();
--- a/agent/tests/attempts.rs
+++ b/agent/tests/attempts.rs
@@ -386,3 +386,39 @@
         assert_eq!(begun, repeated, "{window}");
     }
 }
+
+/// A backend that takes in next to nothing until it reads.
+fn narrow() -> tokio::net::TcpListener {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    // With small segments the agent's side of the connections takes in little as well.
+    socket.set_tcp_mss(88).expect("an option");
+    socket.set_recv_buffer_size(2048).expect("an option");
+    socket.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().expect("an address").into()).expect("a port");
+    socket.listen(16).expect("a listener");
+    socket.set_nonblocking(true).expect("an option");
+    tokio::net::TcpListener::from_std(socket.into()).expect("a listener")
+}
+
+/// A backend begins with a request's last byte. One that answers before is not served from, whatever it says; and one
+/// that turns the request away does not get the rest of it, for that would run beside the repeat.
+#[tokio::test]
+async fn an_answer_ahead_of_the_last_byte_is_none_and_ends_its_connection() {
+    let turned_away = b"HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n".to_vec();
+    for early in [ok("early"), turned_away] {
+        let listener = narrow();
+        let directory = Directory::start(Mood::Mute).await;
+        let address = listener.local_addr().expect("an address");
+        let agent = Agent::start(directory.address, &[host("s", address, "up")]).await;
+        let mut client = agent.client().await;
+        client.send(&request("POST", "/pay", "60000m", &"b".repeat(64 << 10))).await;
+        let (mut first, _) = soon("a connection", listener.accept()).await.expect("a connection");
+        soon("a part of the request", first.readable()).await.expect("a part");
+        first.write_all(&early).await.expect("it is written");
+        let (mut second, _) = soon("the repeat's connection", listener.accept()).await.expect("a connection");
+        assert!(soon("the first one's end", read_message(&mut first, 0)).await.is_none(), "it came whole");
+        let repeat = soon("the repeat", read_message(&mut second, 1)).await.expect("it comes whole");
+        assert_eq!(repeat.body.len(), 64 << 10);
+        second.write_all(&ok("right")).await.expect("it is written");
+        assert_eq!(client.answer().await.body, b"right");
+    }
+}
