Pass no answer on whose end cannot be told from a cut

Seen in review: a 200 with neither a length nor chunks was read until its connection ended, and a part of it passed for the whole. Line at fault, agent/src/upstream.rs: exchange() refused two lengths and not none. Ruled out as a loss: servers here always give one (2,800 answers in, temporary logs).

an_answer_of_no_known_length_is_not_passed_on (agent/tests/attempts.rs) is answered with 200 without the change, with 502 with it.

--- a/agent/src/upstream.rs
+++ b/agent/src/upstream.rs
@@ -449,8 +449,9 @@
         }
         let headers = response.headers();
         // Two lengths are none: hyper would go by one of them, and what it then took for the answer need not be.
-        let lengths = headers.get_all(CONTENT_LENGTH).iter().count();
-        let ambiguous = lengths > 1 || (lengths == 1 && headers.contains_key(TRANSFER_ENCODING));
+        // With none, what was cut off would pass for the whole.
+        let lengths = headers.get_all(CONTENT_LENGTH).iter().chain(headers.get(TRANSFER_ENCODING)).count();
+        let ambiguous = lengths > 1 || (lengths == 0 && response.status() == StatusCode::OK);
         if ambiguous || response.body().size_hint().lower() > BODY_MOST as u64 {
             return None;
         }
--- a/agent/tests/attempts.rs
+++ b/agent/tests/attempts.rs
@@ -422,3 +422,12 @@
         assert_eq!(client.answer().await.body, b"right");
     }
 }
+
+/// Where neither a length nor chunks tell of an answer's end, a cut cannot be told from it.
+#[tokio::test]
+async fn an_answer_of_no_known_length_is_not_passed_on() {
+    let backend = Backend::start(|_| Reply::Last(b"HTTP/1.1 200 OK\r\n\r\nperhaps a part".to_vec())).await;
+    let (_directory, agent) = world(&[&backend]).await;
+    let answer = agent.client().await.ask(&request("POST", "/pay", "2000m", "b")).await;
+    assert_eq!(answer.status(), 502);
+}
