--- a/agent/tests/service.rs
+++ b/agent/tests/service.rs
@@ -141,6 +141,53 @@
     assert_eq!(agent.get("/read").await.status(), 200);
 }
 
+/// What discovery gets while no watch is open counts as told at once, so the pause before the next one stays short,
+/// however many have failed.
+#[tokio::test]
+async fn the_pause_after_a_failed_watch_does_not_outgrow_a_drain() {
+    let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let mut directory = Directory::start(Mood::Down).await;
+    let mut config = config(directory.address, &[host("s", backend.address, "up")]);
+    config["settings"]["rules"]["stopSendingWithinMs"] = 200.into();
+    let _agent = Agent::with(config, |_| {}).await;
+    let begun = Instant::now();
+    for _ in 0..12 {
+        directory.next_call().await;
+    }
+    // At most 125 ms each. Doubled each time they would come to 8 s at the least.
+    assert!(begun.elapsed() < Duration::from_secs(6), "{:?}", begun.elapsed());
+}
+
+/// A list that is broken or has no end: what is known stands, memory stays small, and the next good one is taken.
+#[tokio::test]
+async fn a_broken_or_oversized_list_costs_nothing_of_what_is_known() {
+    let old = Backend::start(|_| Reply::Bytes(ok("old"))).await;
+    let new = Backend::start(|_| Reply::Bytes(ok("new"))).await;
+    let mut directory = Directory::start(Mood::Mute).await;
+    let mut config = config(directory.address, &[host("old", old.address, "up")]);
+    config["settings"]["rules"]["stopSendingWithinMs"] = 200.into();
+    let agent = Agent::with(config, |_| {}).await;
+    directory.next_call().await;
+    let nested = |depth: usize| (0..depth).fold(json!([]), |inner, _| json!([inner]));
+    for broken in [
+        json!({"seq": 7, "whole": true}),
+        json!({"seq": 7, "whole": true, "hosts": {}}),
+        json!({"seq": 7, "whole": true, "hosts": [], "deep": nested(200)}),
+        json!({"seq": 7, "whole": true, "hosts": {}, "filler": vec![json!([]); 1_300_000]}),
+    ] {
+        while directory.calls.try_recv().is_ok() {}
+        directory.mood.send_replace(Mood::List(broken));
+        // One that may have been under way, one that got this, and one that shows that it has been looked at.
+        for _ in 0..3 {
+            directory.next_call().await;
+        }
+        assert_eq!(agent.get("/read").await.body, b"old");
+    }
+    assert!(agent.memory_most_kb() < 32 << 10, "{} kB", agent.memory_most_kb());
+    directory.list(8, &[host("new", new.address, "up")]);
+    soon("the good list", async { while agent.get("/read").await.body != b"new" {} }).await;
+}
+
 /// After SIGTERM: idle connections close, what is in flight is answered, connections that come late are still
 /// taken, each answer says that it is the last, and the agent ends by itself.
 #[tokio::test]
