--- a/agent/src/config.rs
+++ b/agent/src/config.rs
@@ -10,8 +10,8 @@
 /// Descriptors and memory are for small machines; a configuration that is silent about them means these.
 const SOCKETS: usize = 1024;
 /// Fewer leave no room to serve; more than this no process may hold.
-const SOCKETS_LEAST: usize = 80;
-const SOCKETS_MOST: usize = 1 << 20;
+const MIN_SOCKETS: usize = 80;
+const MAX_SOCKETS: usize = 1 << 20;
 
 /// Everything that one start of the agent goes by.
 #[derive(Debug)]
@@ -102,8 +102,8 @@
         if let Some(place) = names.classes.iter().position(String::is_empty) {
             return Err(format!("settings give class {place} no name"));
         }
-        if file.limits.sockets.is_some_and(|sockets| sockets < SOCKETS_LEAST) {
-            return Err(format!("limits.sockets is below {SOCKETS_LEAST}; that leaves no room to serve"));
+        if file.limits.sockets.is_some_and(|sockets| sockets < MIN_SOCKETS) {
+            return Err(format!("limits.sockets is below {MIN_SOCKETS}; that leaves no room to serve"));
         }
         let seed = file.seed.unwrap_or_default();
         let known = match file.known {
@@ -116,7 +116,7 @@
             discovery,
             // Any text makes a seed; only the form of the deployment's own is read as a number.
             seed: u64::from_str_radix(&seed, 16).unwrap_or_else(|_| micasail_settings::fnv1a(&seed)),
-            sockets: file.limits.sockets.unwrap_or(SOCKETS).min(SOCKETS_MOST),
+            sockets: file.limits.sockets.unwrap_or(SOCKETS).min(MAX_SOCKETS),
             settings,
             names,
             known,
--- a/agent/src/discovery.rs
+++ b/agent/src/discovery.rs
@@ -22,7 +22,7 @@
 /// to tell counts as told 2 s after its wait; by then the next call must have been made.
 const MUTE: Duration = Duration::from_millis(1_500);
 /// The longest list that is read. Taken apart, one may take ten times its length, and memory may be 32 MB.
-const LIST_MOST: usize = 1 << 20;
+const MAX_LIST: usize = 1 << 20;
 
 /// A server list or a change of one, as discovery words it.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -207,7 +207,7 @@
         if response.status() != StatusCode::OK {
             return None;
         }
-        let body = Limited::new(response.into_body(), LIST_MOST).collect().await.ok()?.to_bytes();
+        let body = Limited::new(response.into_body(), MAX_LIST).collect().await.ok()?.to_bytes();
         parse_list(&serde_json::from_slice(&body).ok()?)
     };
     // A cut-off discovery leaves its connection open and mute: no answer in time is a failure like any other.
--- a/agent/src/discovery/tests.rs
+++ b/agent/src/discovery/tests.rs
@@ -22,7 +22,7 @@
 /// included.
 #[tokio::test(start_paused = true)]
 async fn a_mute_watch_is_given_up_in_time_to_ask_again_before_its_news_counts_as_told() {
-    const PAUSE_MOST: Duration = Duration::from_millis(350);
+    const MAX_PAUSE: Duration = Duration::from_millis(350);
     let mute = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = mute.local_addr().expect("an address");
     let begun = tokio::time::Instant::now();
@@ -30,7 +30,7 @@
     assert_eq!(tokio::task::LocalSet::new().run_until(watch).await, None);
     let given_up = begun.elapsed();
     assert!(given_up >= WAIT, "not while it may still wait: {given_up:?}");
-    assert!(given_up + PAUSE_MOST <= WAIT + Duration::from_secs(2), "{given_up:?}");
+    assert!(given_up + MAX_PAUSE <= WAIT + Duration::from_secs(2), "{given_up:?}");
 }
 
 #[test]
--- a/agent/src/framing.rs
+++ b/agent/src/framing.rs
@@ -17,9 +17,9 @@
 use tokio::time::Instant;
 
 /// The longest head of a request.
-pub const HEAD_MOST: usize = 16 << 10;
+pub const MAX_HEAD: usize = 16 << 10;
 /// Header lines that a head may have; hyper's own bound.
-const LINES_MOST: usize = 100;
+const MAX_HEADERS: usize = 100;
 /// Read at a time.
 const CHUNK: usize = 4 << 10;
 
@@ -159,7 +159,7 @@
             let mut chunk = [0; CHUNK];
             match self.io.inner().try_read(&mut chunk) {
                 Ok(n) => {
-                    if matches!(self.stage, Stage::Whole) && self.ahead.len() + n > HEAD_MOST {
+                    if matches!(self.stage, Stage::Whole) && self.ahead.len() + n > MAX_HEAD {
                         self.line.excess.set(true);
                     } else {
                         self.ahead.extend_from_slice(&chunk[..n]);
@@ -184,7 +184,7 @@
         }
         self.parsed = self.ahead.len();
         match frame(&self.ahead) {
-            Frame::Partial if self.ahead.len() < HEAD_MOST => return false,
+            Frame::Partial if self.ahead.len() < MAX_HEAD => return false,
             // hyper answers what it cannot read, and a head that is too long, in its own words, and closes.
             Frame::Partial | Frame::Unreadable => (self.pass, self.stage) = (self.ahead.len(), Stage::Shut),
             Frame::Ambiguous(head) => {
@@ -205,7 +205,7 @@
     /// passed on.
     fn take_chunk(&mut self) -> bool {
         match chunk(&self.ahead) {
-            Chunk::Partial if self.ahead.len() < HEAD_MOST => return false,
+            Chunk::Partial if self.ahead.len() < MAX_HEAD => return false,
             // The body's reader finds the fault, and the request is answered with it.
             Chunk::Partial | Chunk::Unreadable => (self.pass, self.stage) = (self.ahead.len(), Stage::Shut),
             Chunk::Sized(length) => self.stage = Stage::Body(length, Then::Chunk),
@@ -334,7 +334,7 @@
 fn chunk(bytes: &[u8]) -> Chunk {
     match httparse::parse_chunk_size(bytes) {
         Ok(httparse::Status::Complete((line, 0))) => {
-            let mut trailers = [httparse::EMPTY_HEADER; LINES_MOST];
+            let mut trailers = [httparse::EMPTY_HEADER; MAX_HEADERS];
             match httparse::parse_headers(&bytes[line..], &mut trailers) {
                 Ok(httparse::Status::Complete((end, _))) => Chunk::Last(line + end),
                 Ok(httparse::Status::Partial) => Chunk::Partial,
@@ -351,7 +351,7 @@
 }
 
 fn frame(bytes: &[u8]) -> Frame {
-    let mut lines = [httparse::EMPTY_HEADER; LINES_MOST];
+    let mut lines = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut request = httparse::Request::new(&mut lines);
     let head = match request.parse(bytes) {
         Ok(httparse::Status::Complete(head)) => head,
--- a/agent/src/server.rs
+++ b/agent/src/server.rs
@@ -1,8 +1,8 @@
 //! The application's side: takes requests in, checks them, and writes the one answer of each.
 
 use crate::driver::{Answer, Arrival, Driver};
-use crate::framing::{Framed, Line, Phase, HEAD_MOST};
-use crate::upstream::{forwarded, BODY_MOST};
+use crate::framing::{Framed, Line, Phase, MAX_HEAD};
+use crate::upstream::{forwarded, MAX_BODY};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -27,14 +27,14 @@
 /// The part of a client's wait that is kept for writing the answer.
 const ANSWER_ROOM: Duration = Duration::from_millis(6);
 /// The longest wait that a request may ask for.
-const WAIT_MOST: Duration = Duration::from_secs(600);
+const MAX_WAIT: Duration = Duration::from_secs(600);
 /// A request must have come whole within this of its first byte, and a connection's first request within this of
 /// the connect: what connects and says nothing, or half of something, holds a place that others need.
-const READ_MOST: Duration = Duration::from_millis(2_300);
+const READ_TIMEOUT: Duration = Duration::from_millis(2_300);
 /// An idle connection is closed after this; much sooner where places run short, and then it must have been idle
 /// for as long as clients are promised.
-const IDLE_MOST: Duration = Duration::from_secs(10);
-const IDLE_LEAST: Duration = Duration::from_millis(2_050);
+const MAX_IDLE: Duration = Duration::from_secs(10);
+const MIN_IDLE: Duration = Duration::from_millis(2_050);
 /// Places run short once this share of them is taken: clients count connections that they have left behind
 /// among those that they may hold.
 const SHORT: f64 = 0.25;
@@ -43,11 +43,11 @@
 /// to be closed.
 const CROWDED: f64 = 0.5;
 /// Where all places are taken, one that has said nothing for this long gives way: clients connect to ask.
-const MUTE_LEAST: Duration = Duration::from_millis(100);
+const MIN_MUTE: Duration = Duration::from_millis(100);
 /// How often a connection's time is looked at.
 const LOOK: Duration = Duration::from_millis(250);
 /// The longest id of a request that is kept.
-const ID_MOST: usize = 256;
+const MAX_ID: usize = 256;
 /// The balancer ends each request by its deadline; should it not, the agent does, this much later.
 const OVERDUE: Duration = Duration::from_millis(4);
 /// Pause after an accept that failed, or descriptors that have run out would make the loop spin.
@@ -55,7 +55,7 @@
 /// After SIGTERM new connections go on coming for a while; each is still taken.
 const ACCEPT_ON: Duration = Duration::from_millis(650);
 /// SIGKILL follows no sooner than 0.7 s and the longest deadline after SIGTERM; one over this counts as this.
-const DEADLINE_MOST: Duration = Duration::from_secs(3);
+const MAX_DEADLINE: Duration = Duration::from_secs(3);
 /// The last answers are written within this.
 const FLUSH: Duration = Duration::from_millis(30);
 
@@ -144,8 +144,8 @@
     fn give_way(&self) {
         let held = self.held.borrow();
         let spare = |h: &&Held| match h.line.phase() {
-            (Phase::Mute, since) => since.elapsed() >= MUTE_LEAST,
-            (Phase::Idle, since) => since.elapsed() >= IDLE_LEAST,
+            (Phase::Mute, since) => since.elapsed() >= MIN_MUTE,
+            (Phase::Idle, since) => since.elapsed() >= MIN_IDLE,
             (Phase::Arriving | Phase::Open | Phase::Answered, _) => false,
         };
         let rank = |h: &&Held| (h.line.phase().0 == Phase::Idle, h.line.phase().1);
@@ -158,7 +158,7 @@
     /// taken what still came and every connection has its last answer, or when SIGKILL is due.
     pub async fn drain(&self, accepting: JoinHandle<()>) {
         let accept = Instant::now() + ACCEPT_ON;
-        let answer = accept + self.longest.min(DEADLINE_MOST);
+        let answer = accept + self.longest.min(MAX_DEADLINE);
         self.end.send_replace(Some(End { accept, answer }));
         let emptied = async {
             // It ends by itself.
@@ -189,18 +189,18 @@
     fn until(&self, line: &Line, taken: Instant) -> Instant {
         let short = self.taken(SHORT);
         let until = match line.phase() {
-            (Phase::Mute, _) => taken + READ_MOST,
-            (Phase::Arriving, since) if since.duration_since(taken) < READ_MOST => taken + READ_MOST,
-            (Phase::Arriving, since) => since + READ_MOST,
+            (Phase::Mute, _) => taken + READ_TIMEOUT,
+            (Phase::Arriving, since) if since.duration_since(taken) < READ_TIMEOUT => taken + READ_TIMEOUT,
+            (Phase::Arriving, since) => since + READ_TIMEOUT,
             // A request that is whole ends by its deadline.
             (Phase::Open, _) => Instant::now() + LOOK,
             // By then its client waits for it no more.
-            (Phase::Answered, since) => since + self.longest.max(IDLE_LEAST),
-            (Phase::Idle, since) => since + if short { IDLE_LEAST } else { IDLE_MOST },
+            (Phase::Answered, since) => since + self.longest.max(MIN_IDLE),
+            (Phase::Idle, since) => since + if short { MIN_IDLE } else { MAX_IDLE },
         };
         match (line.phase().0, *self.end.borrow()) {
             // Who connects to ask has asked by now; no others come.
-            (Phase::Mute, Some(end)) => until.min(end.accept.max(taken + MUTE_LEAST)),
+            (Phase::Mute, Some(end)) => until.min(end.accept.max(taken + MIN_MUTE)),
             _ => until,
         }
     }
@@ -213,7 +213,7 @@
         let (server, read) = (self.clone(), line.clone());
         let service = service_fn(move |request| server.clone().answer(request, read.clone()));
         let mut builder = http1::Builder::new();
-        builder.max_buf_size(HEAD_MOST).max_header_size(HEAD_MOST);
+        builder.max_buf_size(MAX_HEAD).max_header_size(MAX_HEAD);
         let mut connection = pin!(builder.serve_connection(Framed::new(stream, line.clone()), service));
         let mut told = false;
         loop {
@@ -314,7 +314,7 @@
         if text(&head.headers, "x-priority-class") != Some(first) {
             return Err(bad("X-Priority-Class must be the first part of the path"));
         }
-        if text(&head.headers, "x-request-id").is_none_or(|id| id.is_empty() || id.len() > ID_MOST) {
+        if text(&head.headers, "x-request-id").is_none_or(|id| id.is_empty() || id.len() > MAX_ID) {
             return Err(bad("X-Request-ID is missing or too long"));
         }
         let tenant = match text(&head.headers, "x-tenant-id") {
@@ -340,10 +340,10 @@
             return Err(bad("this class needs an Idempotency-Key"));
         }
         let large = || plain(StatusCode::PAYLOAD_TOO_LARGE, "a body holds at most 64 KiB");
-        if body.size_hint().lower() > BODY_MOST as u64 {
+        if body.size_hint().lower() > MAX_BODY as u64 {
             return Err(large());
         }
-        let body = match timeout(READ_MOST, Limited::new(body, BODY_MOST).collect()).await {
+        let body = match timeout(READ_TIMEOUT, Limited::new(body, MAX_BODY).collect()).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(e)) if e.is::<LengthLimitError>() => return Err(large()),
             Ok(Err(_)) => return Err(bad("the body did not come whole")),
@@ -402,7 +402,7 @@
         return None;
     }
     let wait = Duration::try_from_secs_f64(digits.parse::<f64>().ok()? * micros / 1e6).ok()?;
-    (!wait.is_zero() && wait <= WAIT_MOST).then_some(wait)
+    (!wait.is_zero() && wait <= MAX_WAIT).then_some(wait)
 }
 
 fn word(answer: Answer) -> Response<Full<Bytes>> {
--- a/agent/src/upstream.rs
+++ b/agent/src/upstream.rs
@@ -27,20 +27,20 @@
 use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
 /// The longest body of either direction.
-pub const BODY_MOST: usize = 64 << 10;
+pub const MAX_BODY: usize = 64 << 10;
 /// An idle connection is given up after this share of the time in the settings: one that the backend closes
 /// while a request is on its way to it costs that request a reset of which nobody knows whether it ran.
 const IDLE_SHARE: f64 = 0.7;
 /// A probe that has not been answered by then has timed out.
-const PROBE_WAIT: Duration = Duration::from_millis(250);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// After a whole answer a connection is ready again at once, or there is something wrong with it; a second answer
 /// may follow some milliseconds later. Until then nothing is sent over it, or that would pass for the next one's.
 const SETTLE: Duration = Duration::from_millis(5);
 /// The longest head of an answer, and the most that hyper buffers.
-const HEAD_MOST: usize = 16 << 10;
+const MAX_HEAD: usize = 16 << 10;
 /// All bytes that one answer may bring: its body, what its framing adds, and heads, those of 1xx answers ahead of
 /// it among them. A backend that goes on past that is noise, however well formed.
-const ANSWER_MOST: u64 = 2 * (BODY_MOST + HEAD_MOST) as u64;
+const MAX_ANSWER: u64 = 2 * (MAX_BODY + MAX_HEAD) as u64;
 
 /// What passes between a connection's task and its user: bytes written so far, those that may still be read, and
 /// leave to write more.
@@ -207,7 +207,7 @@
     held: Rc<Cell<usize>>,
     most: usize,
     connect_timeout: Duration,
-    idle_most: Duration,
+    max_idle: Duration,
     fields: Vec<String>,
 }
 
@@ -221,7 +221,7 @@
             held: Rc::default(),
             most,
             connect_timeout,
-            idle_most: keepalive.mul_f64(IDLE_SHARE),
+            max_idle: keepalive.mul_f64(IDLE_SHARE),
             fields,
         }
     }
@@ -296,7 +296,7 @@
     /// Closes the connections that have been idle for too long.
     pub fn sweep(&self) {
         for remote in self.remotes.borrow_mut().values_mut() {
-            remote.idle.retain(|c| c.idle_since.elapsed() < self.idle_most && !c.sender.is_closed());
+            remote.idle.retain(|c| c.idle_since.elapsed() < self.max_idle && !c.sender.is_closed());
         }
     }
 
@@ -307,7 +307,7 @@
             let rested = {
                 let mut remotes = self.remotes.borrow_mut();
                 let remote = remotes.get_mut(&server).filter(|r| r.open).ok_or(Outcome::NotSent)?;
-                remote.idle.retain(|c| c.idle_since.elapsed() < self.idle_most && c.sender.is_ready());
+                remote.idle.retain(|c| c.idle_since.elapsed() < self.max_idle && c.sender.is_ready());
                 if let Some(rested) = remote.idle.iter().rposition(|c| c.idle_since.elapsed() >= SETTLE) {
                     return Ok(remote.idle.remove(rested));
                 }
@@ -427,7 +427,7 @@
             }
             ended
         };
-        timeout(PROBE_WAIT, exchange).await.unwrap_or(Ended::without_answer(Outcome::TimedOut))
+        timeout(PROBE_TIMEOUT, exchange).await.unwrap_or(Ended::without_answer(Outcome::TimedOut))
     }
 
     /// One request and its whole answer over a connection; `None` if that broke on the way. The request's last byte is
@@ -438,7 +438,7 @@
         request: Request<Full<Bytes>>,
         whole: u64,
     ) -> Option<Ended> {
-        connection.wire.readable.set(ANSWER_MOST);
+        connection.wire.readable.set(MAX_ANSWER);
         let response = connection.sender.send_request(request).await.ok()?;
         // A backend begins with the last byte. What is served before it has come is something else, and who turns the
         // request away must not get the rest of it.
@@ -452,12 +452,12 @@
         // With none, what was cut off would pass for the whole.
         let lengths = headers.get_all(CONTENT_LENGTH).iter().chain(headers.get(TRANSFER_ENCODING)).count();
         let ambiguous = lengths > 1 || (lengths == 0 && response.status() == StatusCode::OK);
-        if ambiguous || response.body().size_hint().lower() > BODY_MOST as u64 {
+        if ambiguous || response.body().size_hint().lower() > MAX_BODY as u64 {
             return None;
         }
         let (outcome, report) = self.judge(&response);
         let kind = headers.get(CONTENT_TYPE).cloned();
-        let body = Limited::new(response.into_body(), BODY_MOST).collect().await.ok()?.to_bytes();
+        let body = Limited::new(response.into_body(), MAX_BODY).collect().await.ok()?.to_bytes();
         // A connection that brings more than the answer is closed by hyper instead of becoming ready. The answer
         // is good all the same and does not wait for that.
         if connection.sender.is_ready() {
@@ -495,7 +495,7 @@
     let wire = Rc::<Wire>::default();
     let io = Counted { io: TokioIo::new(stream), wire: wire.clone() };
     let mut builder = Builder::new();
-    builder.max_buf_size(HEAD_MOST).max_header_size(HEAD_MOST);
+    builder.max_buf_size(MAX_HEAD).max_header_size(MAX_HEAD);
     let (sender, driven) = builder.handshake(io).await.map_err(io::Error::other)?;
     let task = tokio::task::spawn_local(async move {
         // How it ended shows at the sender and in the bytes written.
--- a/agent/tests/common/mod.rs
+++ b/agent/tests/common/mod.rs
@@ -345,7 +345,7 @@
     }
 
     /// The most memory that it has held so far.
-    pub fn memory_most_kb(&self) -> usize {
+    pub fn max_memory_kb(&self) -> usize {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id().expect("it runs")));
         let status = status.expect("its status");
         let most = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("its memory");
--- a/agent/tests/service.rs
+++ b/agent/tests/service.rs
@@ -183,7 +183,7 @@
         }
         assert_eq!(agent.get("/read").await.body, b"old");
     }
-    assert!(agent.memory_most_kb() < 32 << 10, "{} kB", agent.memory_most_kb());
+    assert!(agent.max_memory_kb() < 32 << 10, "{} kB", agent.max_memory_kb());
     directory.list(8, &[host("new", new.address, "up")]);
     soon("the good list", async { while agent.get("/read").await.body != b"new" {} }).await;
 }
