--- a/src/logic.rs
+++ b/src/logic.rs
@@ -14,7 +14,7 @@
 /// Both, where balancers outnumber servers: a kept connection is what saves a server the work of a handshake.
 const MANY: usize = 6;
 /// Weight of a new answer in a server's pace: about the last eight answers count.
-const PACE_GAIN: f64 = 0.12;
+const EWMA_GAIN: f64 = 0.12;
 /// An answer counts as this many aims at most: late is late, and one costly request must not weigh like ten.
 const LATE: f64 = 1.0;
 /// Weight of a new answer in its class's pace; a slower one counts a quarter.
@@ -22,28 +22,28 @@
 /// A server is slow at this multiple of the fleet's median pace; under it, counts alone shift the load.
 const SLOW: f64 = 3.0;
 /// Answers needed before a server can be called slow; one costly request is no evidence.
-const SLOW_SAMPLES: u32 = 4;
-/// Failures in a row, with no success between, that make a server suspect.
-const FAILURES: u32 = 3;
+const MIN_SAMPLES: u32 = 4;
+/// Failures in a row, with no success between, that eject a server.
+const MAX_FAILURES: u32 = 3;
 /// Failed connects to a zone in a row, to any of its servers, that tell of a cut link and not of a dead
 /// server.
-const ZONE_FAILURES: u32 = 2;
+const MAX_ZONE_FAILURES: u32 = 2;
 /// An attempt is overdue at this multiple of the pace of its class, and not before this share of its aim; of
 /// the whole aim if it is alone on its server, where it may well be a costly request and no hang.
 const OVERDUE: f64 = 4.0;
-const OVERDUE_LEAST: f64 = 0.6;
+const MIN_OVERDUE: f64 = 0.6;
 const OVERDUE_ALONE: f64 = 1.0;
-/// At most this share of the serving fleet is suspect; beyond it the trouble is not the servers'.
-const SUSPECT_SHARE: f64 = 0.75;
-/// First and longest pause between two trials of a suspect server.
-const TRIAL_FIRST: Span = Span(250_000);
-const TRIAL_MOST: Span = Span(4_000_000);
+/// At most this share of the serving fleet is ejected; beyond it the trouble is not the servers'.
+const MAX_EJECTED_SHARE: f64 = 0.75;
+/// First and longest pause between two trials of an ejected server.
+const MIN_EJECTION: Span = Span(250_000);
+const MAX_EJECTION: Span = Span(4_000_000);
 /// The share of its aim that an answer should take: over it a server's limit shrinks, under it it grows.
 const TARGET: f64 = 0.25;
 /// A server in another zone, or a new connection, weighs this much more for each 1% of a request that it is
 /// priced at; crossing never as much as one request more at zero, or the price alone would fill a zone.
 const AWAY: f64 = 0.25;
-const AWAY_MOST: f64 = 1.8;
+const MAX_AWAY: f64 = 1.8;
 /// The work of a handshake, in requests: operators count 25 to 40 ms against 87 to 180 ms.
 const HANDSHAKE: f64 = 0.25;
 /// What is drawn settles in proportion to what it bears if this power of it weighs the coin.
@@ -51,7 +51,7 @@
 /// A key's last server weighs this much where keys run warm: it wins unless it holds clearly more.
 const WARM: f64 = 0.7;
 /// Keys remembered; past that all are forgotten, which costs each of them one cold run.
-const KEYS_MOST: usize = 10_000;
+const MAX_KEYS: usize = 10_000;
 /// Loads that differ by less than this (as a logarithm) are alike: a quarter is well within chance.
 const ALIKE: f64 = 0.25;
 /// What an answer past its aim leaves of a server's limit.
@@ -63,28 +63,28 @@
 /// An answer is slow from this share of its aim on: by then a server holds several requests for each core,
 /// and one that does so for long turns slow for longer. Late ones alone are a sign that comes too late.
 const SLOW_ANSWER: f64 = 2.0 * TARGET;
-/// The common level loses this share of itself in a round trip of slow answers, and gains `LEVEL_UP` of its
-/// root in one of good ones: a quarter of slow answers holds it, low levels catch up.
-const LEVEL_CUT: f64 = 0.6;
-const LEVEL_UP: f64 = 0.2;
+/// The admission probability loses this share of itself in a round trip of slow answers, and gains
+/// `ADMISSION_GAIN` of its root in one of good ones: a quarter of slow answers holds it, low ones catch up.
+const ADMISSION_CUT: f64 = 0.6;
+const ADMISSION_GAIN: f64 = 0.2;
 /// A blind balancer counts this many answers as a round trip at least, or one slow answer would shut it; and
 /// it always lets this share in, or it would never see a jam end.
-const ROUND_LEAST: usize = 4;
-const LEVEL_LEAST: f64 = 0.02;
+const MIN_ROUND: usize = 4;
+const MIN_ADMISSION: f64 = 0.02;
 /// Own requests in flight that a server is first thought to bear, and the most it is ever given.
-const LIMIT_FIRST: f64 = 2.0;
-const LIMIT_MOST: f64 = 1000.0;
+const INITIAL_LIMIT: f64 = 2.0;
+const MAX_LIMIT: f64 = 1000.0;
 /// Each request earns this much of a further attempt, saved up to the burst.
-const RETRY_EARN: f64 = 0.1;
-const RETRY_BURST: f64 = 10.0;
+const RETRY_BUDGET_RATIO: f64 = 0.1;
+const MAX_RETRY_BUDGET: f64 = 10.0;
 /// How often the balancer looks around when it holds requests, and when it does not.
 const TICK_BUSY: Span = Span(10_000);
 const TICK_IDLE: Span = Span(50_000);
 /// Votes that a class's usual wait can gather; a new habit of the clients is believed after as many.
-const VOTES_MOST: u32 = 50;
+const MAX_VOTES: u32 = 50;
 /// A held request must have this multiple of its class's present answer time left, or this share of its aim.
 const WAIT_MARGIN: f64 = 2.0;
-const WAIT_MOST: f64 = 0.7;
+const MAX_WAIT: f64 = 0.7;
 /// Traffic is counted over about this many milliseconds.
 const COUNT_MS: f64 = 3000.0;
 /// A tenant is over its share at this multiple of its fraction; usage wobbles without anyone flooding.
@@ -92,7 +92,7 @@
 /// A refused client is told to come back after this share of the aim: with time left for an answer in it.
 const COME_BACK: f64 = 0.25;
 /// Longest local queue, in requests.
-const HELD_MOST: usize = 500;
+const MAX_HELD: usize = 500;
 /// Pause before the list is asked for again, doubled on each failure up to a quarter of what the site asks.
 const ASK_AGAIN: Span = Span(200_000);
 
@@ -103,14 +103,14 @@
 const DOUBT_OWN: Span = Span(8_000_000);
 const DOUBT_HEARD: Span = Span(5_000_000);
 /// Peers told of a doubted server, and the bytes that each request earns for that, saved up to a limit.
-const TELL_MOST: u32 = 64;
+const MAX_TELL: u32 = 64;
 const TELL_EARN: f64 = 25.0;
-const TELL_SAVED: f64 = 512.0;
+const MAX_TELL_BYTES: f64 = 512.0;
 /// Answers that the pace of a kind of machine remembers at most, those that it counts for beside a server's
 /// own, and those that a server's own count for at most.
-const KIND_MOST: f64 = 12.0;
+const MAX_KIND: f64 = 12.0;
 const KIND_WORTH: f64 = 4.0;
-const OWN_MOST: f64 = 8.0;
+const MAX_OWN: f64 = 8.0;
 /// Candidates are asked for their load where all probes of a pick cost this much at most, and for this share
 /// of the aim.
 const ASK_PRICE: f64 = 0.01;
@@ -127,7 +127,8 @@
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         settings.check()?;
         let mut blank = Balancer::blank(settings, seed);
-        (blank.retries, blank.tell_bytes, blank.ask_pause) = (RETRY_BURST, TELL_SAVED, ASK_AGAIN);
+        (blank.retry_budget, blank.tell_bytes, blank.ask_pause) =
+            (MAX_RETRY_BUDGET, MAX_TELL_BYTES, ASK_AGAIN);
         Ok(blank)
     }
 
@@ -162,7 +163,7 @@
                 let Some(&s) = self.index.get(&server) else { return };
                 match report {
                     Some(report) => self.read_report(now, s, &report),
-                    None if outcome != Outcome::Success => self.suspect(now, s, "silent to probes", out),
+                    None if outcome != Outcome::Success => self.eject(now, s, "silent to probes", out),
                     None => {}
                 }
                 self.choose_asked(now, out);
@@ -188,7 +189,7 @@
         let alike = near || *votes == 0;
         match *votes {
             0 => (*usual, *votes) = (request.time_left, 1),
-            _ if alike => *votes = (*votes + 1).min(VOTES_MOST),
+            _ if alike => *votes = (*votes + 1).min(MAX_VOTES),
             _ => *votes -= 1,
         }
         let spent = if alike { Span::ZERO } else { class.deadline.less(request.time_left) };
@@ -200,9 +201,9 @@
         let hopeless = self.hopeless(now, &live);
         self.live.insert(id, live);
         // Many balancers that each save up a burst would all spend it in the same jam.
-        self.tell_bytes = (self.tell_bytes + TELL_EARN).min(TELL_SAVED);
-        let burst = if self.blind { 1.0 } else { RETRY_BURST };
-        self.retries = (self.retries + RETRY_EARN).min(burst);
+        self.tell_bytes = (self.tell_bytes + TELL_EARN).min(MAX_TELL_BYTES);
+        let burst = if self.blind { 1.0 } else { MAX_RETRY_BUDGET };
+        self.retry_budget = (self.retry_budget + RETRY_BUDGET_RATIO).min(burst);
         if hopeless || !self.admits() {
             self.end(now, id, out);
         } else if !self.place(now, id, out) {
@@ -211,9 +212,9 @@
     }
 
     /// Where a balancer meets a server once in many seconds, limits per server bind nothing: in a jam of the
-    /// fleet it lets in only the part of its requests that the level says, by chance.
+    /// fleet it lets in only the part of its requests that the admission probability says.
     fn admits(&mut self) -> bool {
-        !self.blind || self.rng.f64() < self.level
+        !self.blind || self.rng.f64() < self.admission
     }
 
     /// Keeps the traffic of the last seconds by class and by tenant.
@@ -268,7 +269,7 @@
 
     /// Keeps a request for later, or ends it if that is hopeless.
     fn hold(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
-        if self.held.len() >= HELD_MOST {
+        if self.held.len() >= MAX_HELD {
             return self.end(now, id, out);
         }
         self.held.insert(0, id);
@@ -395,7 +396,7 @@
         lawful
             && s.listed.status == Status::Serving
             && self.has_room(now, s, ask.work)
-            && (self.blind || s.suspicion.as_ref().is_none_or(|q| due(q, now, ask.safe)))
+            && (self.blind || s.ejection.as_ref().is_none_or(|q| due(q, now, ask.safe)))
     }
 
     /// Room by the learned limit; where that says nothing, only a server that was full is given a rest. A
@@ -406,8 +407,8 @@
             return now >= s.rest_until;
         }
         // Many balancers with one request each are a crowd too: below one, the limit is kept by rests, judged
-        // by the limit as it is now; else one late answer at a low level would rest a server for a minute.
-        let limit = s.limit * self.level;
+        // by the limit as it is now; else one late answer in a jam would rest a server for a minute.
+        let limit = s.limit * self.admission;
         let rested = now.since(s.ended).ms() >= s.took * (1.0 / limit - 1.0).max(0.0) && now >= s.rest_until;
         let warmth = self.warmth(s, now);
         let share = warmth * self.warm_sent.now(now);
@@ -472,7 +473,7 @@
     /// A blind balancer compares the plain counts, and the coin is weighed by what each candidate can bear
     /// and, where it saves a handshake, by the price of that.
     fn lightest(&mut self, now: Time, candidates: &[usize], pick: &Pick) -> Option<usize> {
-        let away = (1.0 + 100.0 * AWAY * self.settings.prices.cross_zone).clamp(1.0, AWAY_MOST);
+        let away = (1.0 + 100.0 * AWAY * self.settings.prices.cross_zone).clamp(1.0, MAX_AWAY);
         let prices = &self.settings.prices;
         let kept = 1.0 + 100.0 * AWAY * (prices.handshake + HANDSHAKE * prices.waste);
         let (blind, asks) = (self.blind, self.asks());
@@ -488,8 +489,8 @@
             } else {
                 let far = if s.listed.zone == self.settings.zone { 1.0 } else { away };
                 let known = if pick.warm == Some(c) { WARM } else { 1.0 };
-                // A suspect drawn for its trial goes first: by its own record it would never be tried.
-                let count = if s.suspicion.is_some() { 0.0 } else { f64::from(s.in_flight) + 1.0 };
+                // An ejected one drawn for its trial goes first: by its own record it would never be tried.
+                let count = if s.ejection.is_some() { 0.0 } else { f64::from(s.in_flight) + 1.0 };
                 let load = (count * far * (s.stretch * known).powf(0.5 * pick.heavy)).ln();
                 ((load / ALIKE).round() as i64, report.round() as i64, coin.to_bits())
             };
@@ -512,14 +513,14 @@
         let cut = self.zones.get(&s.listed.zone).is_some_and(|zone| now < zone.1);
         let doubt = if cut || now < s.doubted_until { DOUBTED } else { 1.0 };
         let kind = self.kinds.get(&s.listed.kind).map_or(self.median, |k| k.0);
-        let own = f64::from(s.samples).min(OWN_MOST);
+        let own = f64::from(s.samples).min(MAX_OWN);
         let pace = (kind * KIND_WORTH + s.pace * own) / (KIND_WORTH + own);
         doubt * (size / (1.0 + waiting) / pace.max(0.01).powi(3)).powf(TWICE)
     }
 
     fn remember(&mut self, server: usize, key: Option<KeyId>, out: &mut Vec<Action>) {
         if let Some(key) = key {
-            if self.warm_keys.len() >= KEYS_MOST {
+            if self.warm_keys.len() >= MAX_KEYS {
                 self.warm_keys.clear();
             }
             self.warm_keys.insert(key, server);
@@ -543,8 +544,8 @@
         let share = pick.work / self.warm.max(1) as f64;
         let (sent, work) = if cold { (&mut s.cold_sent, pick.work) } else { (&mut self.warm_sent, share) };
         sent.add(now, 0.5 * self.settings.fall_after.ms(), work);
-        let trial = s.suspicion.is_some();
-        s.suspicion.iter_mut().for_each(|q| q.on_trial = true);
+        let trial = s.ejection.is_some();
+        s.ejection.iter_mut().for_each(|q| q.on_trial = true);
         self.flights.insert((id, attempt), Flight { server, class, sent: now, trial, counted: false });
         out.push(Action::Send { request: id, server: s.listed.server, timeout_at: live.deadline });
     }
@@ -562,14 +563,14 @@
         cold + (1.0 - cold) * age / warm
     }
 
-    /// What the serving fleet bears, in warm servers. The level goes with it: the list tells of a fleet that
+    /// What the serving fleet bears, in warm servers. Admission goes with it: the list tells of a fleet that
     /// shrinks before any server is slow, and once they are slow they stay so; one that warms up bears more.
     fn measure(&mut self, now: Time) {
         let warmths: Vec<f64> = self.serving.iter().map(|&i| self.warmth(&self.servers[i], now)).collect();
         self.warm = warmths.iter().filter(|w| **w >= 1.0).count();
         let capacity: f64 = warmths.iter().sum();
         if self.blind && capacity > 0.0 && self.capacity > 0.0 {
-            self.level = (self.level * capacity / self.capacity).clamp(LEVEL_LEAST, 1.0);
+            self.admission = (self.admission * capacity / self.capacity).clamp(MIN_ADMISSION, 1.0);
         }
         // An empty list says nothing of what comes after it.
         self.capacity = if capacity > 0.0 { capacity } else { self.capacity };
@@ -630,10 +631,10 @@
         if live.attempts.iter().any(|a| a.fate == Fate::Out) {
             return;
         }
-        let paid = outcome.never_ran() || self.retries >= 1.0;
+        let paid = outcome.never_ran() || self.retry_budget >= 1.0;
         if self.lawful(live, now).send != Reach::Nowhere && !self.hopeless(now, live) && paid {
             if !outcome.never_ran() {
-                self.retries -= 1.0;
+                self.retry_budget -= 1.0;
             }
             if !self.place(now, id, out) {
                 self.hold(now, id, out);
@@ -669,7 +670,7 @@
         held.retain(|&id| {
             let Some(live) = self.live.get(&id) else { return false };
             let class = live.request.class.0;
-            let margin = (WAIT_MARGIN * self.class_now[class]).min(WAIT_MOST);
+            let margin = (WAIT_MARGIN * self.class_now[class]).min(MAX_WAIT);
             if self.hopeless(now, live) || now + self.settings.classes[class].aim * margin >= live.wanted_by {
                 self.end(now, id, out);
                 return false;
@@ -695,7 +696,7 @@
             _ => 0.0,
         };
         if used > 0.0 && !flight.counted {
-            self.set_level(used);
+            self.adapt_admission(used);
         }
         let s = &mut self.servers[flight.server];
         match outcome {
@@ -711,7 +712,7 @@
                 lean(&mut s.stretch, (used / self.class_pace[flight.class].max(0.001)).min(8.0), CLASS_GAIN);
                 s.stretch = s.stretch.max(0.05);
                 let current = &mut self.class_now[flight.class];
-                *current += PACE_GAIN * (used - *current);
+                *current += EWMA_GAIN * (used - *current);
             }
             // A full server is no sick one: it is only sent less.
             Outcome::Rejected => s.last_answer = now,
@@ -719,7 +720,7 @@
                 s.failures += 1;
                 let (failures, cut_until) = self.zones.entry(s.listed.zone).or_default();
                 *failures += 1;
-                *cut_until = if *failures >= ZONE_FAILURES { now + DOUBT_HEARD } else { now };
+                *cut_until = if *failures >= MAX_ZONE_FAILURES { now + DOUBT_HEARD } else { now };
             }
             Outcome::ServerError | Outcome::ConnectionReset => {
                 s.failures += 1;
@@ -728,9 +729,9 @@
         }
         if used > 0.0 {
             let (pace, n) = self.kinds.entry(s.listed.kind).or_insert((median, 1.0));
-            *n = (*n + 1.0).min(KIND_MOST);
+            *n = (*n + 1.0).min(MAX_KIND);
             *pace += (used - *pace) / *n;
-            s.pace = if s.samples == 0 { used } else { s.pace + PACE_GAIN * (used - s.pace) };
+            s.pace = if s.samples == 0 { used } else { s.pace + EWMA_GAIN * (used - s.pace) };
             s.samples += 1;
             // Slower than the pace forgets, or its lag would drive the limit down too far; an answer past its
             // aim or a full queue is sure evidence and counts at once.
@@ -738,7 +739,7 @@
             let factor = if used >= 1.0 { LATE_CUT } else { 1.0 - SHRINK * over.max(0.0) };
             s.limit = (s.limit * factor).max(least);
             if over <= 0.0 && used < 1.0 && f64::from(own) + 1.0 >= s.limit.floor() {
-                s.limit = (s.limit + GROWTH / s.limit.max(1.0)).min(LIMIT_MOST);
+                s.limit = (s.limit + GROWTH / s.limit.max(1.0)).min(MAX_LIMIT);
             }
             // A full server rests in any case, or what it turns away would go round the fleet at once.
             (s.ended, s.took) = (now, elapsed.ms());
@@ -750,42 +751,46 @@
         if flight.trial {
             let good = outcome == Outcome::Success && used < SLOW * median.max(0.1);
             if good {
-                s.suspicion = None;
+                s.ejection = None;
                 (s.pace, s.samples, s.failures, s.stretch) = (used, 1, 0, 1.0);
-            } else if let Some(q) = &mut s.suspicion {
+            } else if let Some(q) = &mut s.ejection {
                 q.on_trial = false;
-                q.pause = (q.pause * 2.0).min(TRIAL_MOST);
+                q.pause = (q.pause * 2.0).min(MAX_EJECTION);
                 q.next_trial = now + q.pause;
             }
             return;
         }
-        let slow = s.samples >= SLOW_SAMPLES && s.pace > SLOW * median && s.pace > TARGET;
+        let slow = s.samples >= MIN_SAMPLES && s.pace > SLOW * median && s.pace > TARGET;
         let late = self.blind && used >= 1.0 && outcome != Outcome::Rejected;
-        if s.failures >= FAILURES || slow || late || (self.blind && s.failures > 0) {
-            self.suspect(now, flight.server, if slow { "slow" } else { "failing" }, out);
+        if s.failures >= MAX_FAILURES || slow || late || (self.blind && s.failures > 0) {
+            self.eject(now, flight.server, if slow { "slow" } else { "failing" }, out);
         }
     }
 
-    /// Moves the common level by one answer.
-    fn set_level(&mut self, used: f64) {
-        let least = if self.blind { LEVEL_LEAST } else { 1.0 / f64::from(self.settings.balancers.max(1)) };
-        let step = if used >= SLOW_ANSWER { -LEVEL_CUT * self.level } else { LEVEL_UP * self.level.sqrt() };
-        let round = if self.blind { ROUND_LEAST.max(self.flights.len() + 1) } else { self.flights.len() + 1 };
-        self.level = (self.level + step / round as f64).clamp(least, 1.0);
+    /// Moves the admission probability by one answer.
+    fn adapt_admission(&mut self, used: f64) {
+        let least = if self.blind { MIN_ADMISSION } else { 1.0 / f64::from(self.settings.balancers.max(1)) };
+        let step = if used >= SLOW_ANSWER {
+            -ADMISSION_CUT * self.admission
+        } else {
+            ADMISSION_GAIN * self.admission.sqrt()
+        };
+        let round = if self.blind { MIN_ROUND.max(self.flights.len() + 1) } else { self.flights.len() + 1 };
+        self.admission = (self.admission + step / round as f64).clamp(least, 1.0);
     }
 
     /// Takes a server out of the draw and out of memory, unless too many are out already.
-    fn suspect(&mut self, now: Time, server: usize, why: &str, out: &mut Vec<Action>) {
+    fn eject(&mut self, now: Time, server: usize, why: &str, out: &mut Vec<Action>) {
         if self.blind {
             return self.doubt(now, server, out);
         }
         let all = self.serving.len() as f64;
-        let suspects = self.serving.iter().filter(|&&i| self.servers[i].suspicion.is_some()).count();
+        let ejected = self.serving.iter().filter(|&&i| self.servers[i].ejection.is_some()).count();
         let s = &mut self.servers[server];
-        if s.suspicion.is_some() || (suspects + 1) as f64 > SUSPECT_SHARE * all {
+        if s.ejection.is_some() || (ejected + 1) as f64 > MAX_EJECTED_SHARE * all {
             return;
         }
-        s.suspicion = Some(Suspicion { next_trial: now + TRIAL_FIRST, pause: TRIAL_FIRST, on_trial: false });
+        s.ejection = Some(Ejection { next_trial: now + MIN_EJECTION, pause: MIN_EJECTION, on_trial: false });
         self.memory.retain(|&m| m != server);
         let text =
             format!("server {} {why}: pace {:.2} of median {:.2}", s.listed.server.0, s.pace, self.median);
@@ -801,7 +806,7 @@
         self.memory.retain(|&m| m != server);
         let payload = s.listed.server.0.to_be_bytes().to_vec();
         let paid = if self.settings.peers { self.tell_bytes / payload.len() as f64 } else { 0.0 };
-        for _ in 0..(paid as u32).min(TELL_MOST).min(self.settings.balancers - 1) {
+        for _ in 0..(paid as u32).min(MAX_TELL).min(self.settings.balancers - 1) {
             self.tell_bytes -= payload.len() as f64;
             let peer = PeerId(self.rng.u32(0..self.settings.balancers));
             out.push(Action::Tell { to: Some(peer), payload: payload.clone() });
@@ -826,7 +831,7 @@
         if let Some(&value) = told.and_then(|i| report.get(i)).filter(|v| (0.0..1e4).contains(*v)) {
             let s = &mut self.servers[server];
             (s.reported, s.reported_at, s.sent_since) = (value, Some(now), 0);
-            self.crowd += PACE_GAIN * (s.reported - self.crowd);
+            self.crowd += EWMA_GAIN * (s.reported - self.crowd);
         }
     }
 
@@ -858,13 +863,13 @@
                     if line.started.is_some() && line.started != s.listed.started {
                         // A new process: what was learned of the old one says nothing, and it is cold.
                         let (in_flight, last_answer) = (s.in_flight, s.last_answer);
-                        *s = Server { in_flight, last_answer, ..Server::new(line, LIMIT_FIRST, now) };
+                        *s = Server { in_flight, last_answer, ..Server::new(line, INITIAL_LIMIT, now) };
                         self.memory.retain(|&m| m != i);
                     } else {
                         s.listed = line;
                     }
                 }
-                None => self.admit(Server::new(line, LIMIT_FIRST, now)),
+                None => self.admit(Server::new(line, INITIAL_LIMIT, now)),
             }
         }
         self.forget(now);
@@ -905,7 +910,7 @@
     fn find_silent(&mut self, now: Time, out: &mut Vec<Action>) {
         let overdue = |(&key, flight): (&(RequestId, u32), &Flight)| {
             let (server, aim) = (&self.servers[flight.server], self.settings.classes[flight.class].aim);
-            let least = if server.in_flight > 1 { OVERDUE_LEAST } else { OVERDUE_ALONE };
+            let least = if server.in_flight > 1 { MIN_OVERDUE } else { OVERDUE_ALONE };
             let work = self.live.get(&key.0).map_or(0.0, |live| self.work(live));
             let pace = self.class_pace[flight.class].max(self.median).max(work / aim.ms());
             let (quiet, quick) = (server.last_answer < flight.sent, server.pace < TARGET);
@@ -918,13 +923,13 @@
         let slow =
             |f: &&mut Flight| blind && !f.counted && now.since(f.sent) > classes[f.class].aim * SLOW_ANSWER;
         let slow = self.flights.values_mut().filter(slow).map(|f| f.counted = true).count();
-        (0..slow).for_each(|_| self.set_level(LATE));
-        silent.iter().filter(|s| s.2).for_each(|s| self.suspect(now, s.1, "silent", out));
+        (0..slow).for_each(|_| self.adapt_admission(LATE));
+        silent.iter().filter(|s| s.2).for_each(|s| self.eject(now, s.1, "silent", out));
         for &((id, attempt), ..) in &silent {
             let Some(live) = self.live.get(&id) else { continue };
             let repeatable = self.settings.classes[live.request.class.0].effect != Effect::AtMostOnce;
             let last = attempt as usize + 1 == live.attempts.len();
-            let spare = live.attempts.len() < self.settings.max_attempts as usize && self.retries >= 1.0;
+            let spare = live.attempts.len() < self.settings.max_attempts as usize && self.retry_budget >= 1.0;
             if repeatable && self.settings.cancel && last && spare && !self.hopeless(now, live) {
                 out.push(Action::Cancel { request: id, attempt: AttemptNo(attempt) });
             }
@@ -934,7 +939,7 @@
 
 /// Whether a request may try the server. Safe ones first; any will do once none has come for two pauses,
 /// or a site without a safe class would never take a server back.
-fn due(q: &Suspicion, now: Time, safe: bool) -> bool {
+fn due(q: &Ejection, now: Time, safe: bool) -> bool {
     let at = if safe { q.next_trial } else { q.next_trial + q.pause * 2.0 };
     !q.on_trial && now >= at
 }
--- a/src/records.rs
+++ b/src/records.rs
@@ -98,7 +98,7 @@
     pub(crate) counted: bool,
 }
 
-pub(crate) struct Suspicion {
+pub(crate) struct Ejection {
     pub(crate) next_trial: Time,
     pub(crate) pause: Span,
     pub(crate) on_trial: bool,
@@ -120,7 +120,7 @@
     /// When its last answer came, and what that took in milliseconds.
     pub(crate) ended: Time,
     pub(crate) took: f64,
-    pub(crate) suspicion: Option<Suspicion>,
+    pub(crate) ejection: Option<Ejection>,
     /// Until then a blind balancer doubts it, by what it saw itself or by hearsay.
     pub(crate) doubted_until: Time,
     /// Work sent to it while it was cold.
@@ -147,7 +147,7 @@
             rest_until: now,
             ended: now,
             took: 0.0,
-            suspicion: None,
+            ejection: None,
             doubted_until: now,
             cold_sent: Fading::default(),
             reported: 0.0,
@@ -205,7 +205,7 @@
     pub(crate) median: f64,
     /// Scales all limits: a balancer sees few answers of each server but many of the fleet, so a jam of most
     /// servers is answered within a few round trips, where the single limits would take half a minute.
-    pub(crate) level: f64,
+    pub(crate) admission: f64,
     /// Answer time as a share of the aim by kind of machine, and the answers that it rests on.
     pub(crate) kinds: BTreeMap<KindId, (f64, f64)>,
     /// Failed connects in a row by zone, and until when its link is taken to be cut.
@@ -214,7 +214,7 @@
     pub(crate) tell_bytes: f64,
     /// What the last reports said on average.
     pub(crate) crowd: f64,
-    pub(crate) retries: f64,
+    pub(crate) retry_budget: f64,
     pub(crate) ask_pause: Span,
     pub(crate) ask_at: Option<Time>,
     pub(crate) tick_at: Time,
@@ -250,12 +250,12 @@
             counted_at: Time(0),
             spared: vec![false; classes],
             median: 0.2,
-            level: 1.0,
+            admission: 1.0,
             crowd: 0.0,
             tell_bytes: 0.0,
             kinds: BTreeMap::new(),
             zones: BTreeMap::new(),
-            retries: 0.0,
+            retry_budget: 0.0,
             ask_pause: Span::ZERO,
             ask_at: None,
             tick_at: Time(0),
