Hold a repeat's last byte to its class's window in the instant of writing

Seen: by review of the window's path. A send counts from its last byte, but only the decision was held to the window; a long body that a slow server takes in bit by bit was written on past it. Ruled out: a connect that comes up late (decided a connect's time ahead, tested before), the rest of 5 ms before a connection is used again (within the slack of 50 ms).

At fault: `Counted::leave` (agent/src/upstream.rs), which knew no time; `Action::Send` did not carry the window's end. The agent's own shortening of windows (config.rs) is now the decisions' `connect_timeout`.

--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -246,7 +246,7 @@
         let backend = |server: ServerId, names: &HashMap<ServerId, Rc<str>>| names[&server].to_string();
         let gone = || Outgoing::Bug { what: "an action for a request that is not open".into() };
         match action {
-            Action::Send { request, server, timeout_at } => {
+            Action::Send { request, server, timeout_at, .. } => {
                 let backend = backend(server, &self.server_names);
                 let Some((ticket, entry)) = self.ticket(request) else { return gone() };
                 entry.out += 1;
--- a/agent/src/config.rs
+++ b/agent/src/config.rs
@@ -1,7 +1,7 @@
 //! What the agent is told at its start: the `PROXY_*` variables and the file that `PROXY_CONFIG` names.
 
 use crate::discovery::{self, List};
-use micasail::{Discovery, Effect, Settings};
+use micasail::{Discovery, Settings};
 use micasail_settings::{Names, Params};
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -93,12 +93,8 @@
         settings.ask_within = settings.ask_within.min(settings.drain_grace);
         settings.check().map_err(|e| e.to_string())?;
         let names = micasail_settings::names(&file.settings);
-        // A repeat is written up to a connect's time after it is decided, and must be within its window.
-        for class in &mut settings.classes {
-            if let Effect::Deduplicated { window, .. } = &mut class.effect {
-                *window = window.less(names.connect_timeout);
-            }
-        }
+        // In the simulator a connection comes up in the instant of the decision, or the attempt has failed.
+        settings.connect_timeout = names.connect_timeout;
         if let Some(place) = names.classes.iter().position(String::is_empty) {
             return Err(format!("settings give class {place} no name"));
         }
--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -288,7 +288,9 @@
 
     fn carry_out(self: &Rc<Self>, state: &mut State, action: Action) {
         match action {
-            Action::Send { request, server, timeout_at } => self.send(state, request, server, timeout_at),
+            Action::Send { request, server, timeout_at, write_by } => {
+                self.send(state, request, server, timeout_at, write_by);
+            }
             Action::Cancel { request, attempt } => {
                 if let Some(progress) = state.attempts.get(&(request, attempt.0)) {
                     progress.call_off();
@@ -320,14 +322,21 @@
         }
     }
 
-    fn send(self: &Rc<Self>, state: &mut State, request: RequestId, server: ServerId, timeout_at: Time) {
+    fn send(
+        self: &Rc<Self>,
+        state: &mut State,
+        request: RequestId,
+        server: ServerId,
+        timeout_at: Time,
+        write_by: Option<Time>,
+    ) {
         let Some(open) = state.open.get_mut(&request) else { return };
         let attempt = open.sends;
         open.sends += 1;
         let sent = Instant::now();
         let until = self.clock.instant(timeout_at);
         let outgoing = outgoing(&open.parts, until.saturating_duration_since(sent));
-        let progress = Rc::new(Progress::default());
+        let progress = Rc::new(Progress::new(write_by.map(|by| self.clock.instant(by))));
         state.attempts.insert((request, attempt), progress.clone());
         let driver = self.clone();
         tokio::task::spawn_local(async move {
--- a/agent/src/upstream.rs
+++ b/agent/src/upstream.rs
@@ -48,6 +48,7 @@
 struct Wire {
     written: Cell<u64>,
     readable: Cell<u64>,
+    write_by: Cell<Option<Instant>>,
     shut: Cell<bool>,
 }
 
@@ -63,9 +64,9 @@
         n
     }
 
-    /// Nothing goes out for a request that has its answer, not even what is queued already.
+    /// Nothing goes out for a request that has its answer or is past its time, not even what is queued already.
     fn leave(&self) -> io::Result<()> {
-        if self.wire.shut.get() {
+        if self.wire.shut.get() || self.wire.write_by.get().is_some_and(|by| Instant::now() > by) {
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
         Ok(())
@@ -124,11 +125,18 @@
 pub struct Progress {
     /// The wire that it goes over, and the count there when its last byte is out.
     wire: RefCell<Option<(Rc<Wire>, u64)>>,
+    /// What has not been written by then stays unwritten.
+    write_by: Option<Instant>,
     stopped: Cell<bool>,
     stop: Notify,
 }
 
 impl Progress {
+    /// An attempt that has not begun.
+    pub fn new(write_by: Option<Instant>) -> Self {
+        Progress { write_by, ..Progress::default() }
+    }
+
     /// Its last byte may be out: from here on it may have run.
     pub fn may_have_run(&self) -> bool {
         self.wire.borrow().as_ref().is_some_and(|(wire, whole)| wire.written.get() >= *whole)
@@ -365,6 +373,7 @@
         }
         if let Some(remote) = self.remotes.borrow_mut().get_mut(&connection.server) {
             connection.idle_since = Instant::now();
+            connection.wire.write_by.set(None);
             remote.idle.push(connection);
         }
     }
@@ -388,6 +397,7 @@
                 return Some(Ended::without_answer(Outcome::NotSent));
             }
             let whole = connection.wire.written.get() + length(&request);
+            connection.wire.write_by.set(progress.write_by);
             *progress.wire.borrow_mut() = Some((connection.wire.clone(), whole));
             self.exchange(connection, request, whole).await
         };
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -259,6 +259,7 @@
         warm_after: span(rules.warm_after_ms, standard.warm_after),
         overload_factor: rules.overload_factor.unwrap_or(standard.overload_factor),
         fall_after: span(rules.fall_ms, standard.fall_after),
+        connect_timeout: standard.connect_timeout,
         period: span(params.period_ms, standard.period),
     }
 }
--- a/src/api.rs
+++ b/src/api.rs
@@ -311,6 +311,8 @@
     pub overload_factor: f64,
     /// ... for this long, a cold server falls over.
     pub fall_after: Span,
+    /// An attempt is written up to this much later than it is decided, for its connection may have to come up.
+    pub connect_timeout: Span,
     /// How often at most events come.
     pub period: Span,
 }
@@ -344,6 +346,7 @@
             warm_after: Span::from_ms(20_000.0),
             overload_factor: 2.0,
             fall_after: Span::from_ms(1000.0),
+            connect_timeout: Span::ZERO,
             period: Span::from_ms(1.0),
         }
     }
@@ -598,6 +601,8 @@
         server: ServerId,
         /// When the attempt times out.
         timeout_at: Time,
+        /// Its last byte must be written by then: the servers drop this repeat no longer.
+        write_by: Option<Time>,
     },
     /// Stop waiting for an attempt.
     Cancel {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -286,11 +286,16 @@
         let first = live.attempts.iter().find(|a| a.fate != Fate::NeverRan);
         let full = live.attempts.len() >= self.settings.max_attempts as usize;
         let shut = full || live.bound || now >= live.deadline || (out && !self.settings.second_copies);
+        let write_by = match (first, class.effect) {
+            (Some(first), Effect::Deduplicated { window, .. }) => Some(first.sent + window),
+            _ => None,
+        };
+        let too_late = write_by.is_some_and(|by| now + self.settings.connect_timeout > by);
         let send = match (first, class.effect) {
             _ if shut => Reach::Nowhere,
             (None, _) | (_, Effect::Idempotent) => Reach::Anywhere,
             (Some(_), Effect::AtMostOnce) => Reach::Nowhere,
-            (Some(first), Effect::Deduplicated { window, .. }) if now > first.sent + window => Reach::Nowhere,
+            (Some(_), Effect::Deduplicated { .. }) if too_late => Reach::Nowhere,
             (Some(first), Effect::Deduplicated { group, .. }) => match group {
                 Group::All => Reach::Anywhere,
                 Group::Zone => Reach::Zone(first.zone),
@@ -302,7 +307,7 @@
             (Some(_), Effect::AtMostOnce) => false,
             (Some(_), Effect::Deduplicated { group, .. }) => group == Group::All,
         };
-        Lawful { send, refuse: refuse && !live.bound }
+        Lawful { send, write_by, refuse: refuse && !live.bound }
     }
 
     // ---- the pick -----------------------------------------------------------------------------------
@@ -322,10 +327,12 @@
     fn pick_for(&self, now: Time, live: &Live) -> Pick {
         let class = live.request.class.0;
         let key = live.request.key.filter(|_| self.settings.warm_keys);
+        let lawful = self.lawful(live, now);
         Pick {
             id: live.request.id,
             class,
-            reach: self.lawful(live, now).send,
+            reach: lawful.send,
+            write_by: lawful.write_by,
             work: self.work(live),
             heavy: (self.work(live) / self.usual(class)).clamp(1.0, 9.0).sqrt(),
             safe: self.settings.classes[class].effect == Effect::Idempotent,
@@ -547,7 +554,8 @@
         let trial = s.ejection.is_some();
         s.ejection.iter_mut().for_each(|q| q.on_trial = true);
         self.flights.insert((id, attempt), Flight { server, class, sent: now, trial, counted: false });
-        out.push(Action::Send { request: id, server: s.listed.server, timeout_at: live.deadline });
+        let (server, timeout_at, write_by) = (s.listed.server, live.deadline, pick.write_by);
+        out.push(Action::Send { request: id, server, timeout_at, write_by });
     }
 
     // ---- cold servers -------------------------------------------------------------------------------
--- a/src/records.rs
+++ b/src/records.rs
@@ -43,6 +43,7 @@
     pub(crate) id: RequestId,
     pub(crate) class: usize,
     pub(crate) reach: Reach,
+    pub(crate) write_by: Option<Time>,
     pub(crate) work: f64,
     /// How much its work weighs a machine's slowness.
     pub(crate) heavy: f64,
@@ -57,6 +58,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Lawful {
     pub(crate) send: Reach,
+    /// A repeat's last byte must be written by then.
+    pub(crate) write_by: Option<Time>,
     pub(crate) refuse: bool,
 }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -143,7 +143,7 @@
 
     pub fn action(&mut self, now: Time, action: &Action) {
         match action {
-            Action::Send { request, server, timeout_at } => {
+            Action::Send { request, server, timeout_at, .. } => {
                 let Some(line) = self.servers.get(server).cloned() else {
                     return self.fault(now, format!("sent to {server:?}, which no list names"));
                 };
--- a/tests/no_doubled_effect.rs
+++ b/tests/no_doubled_effect.rs
@@ -102,3 +102,36 @@
     assert!(!refused(&rig.actions, id), "it may have run in the first attempt");
     rig.assert_rules();
 }
+
+/// An attempt may be written up to a connect's time after it is decided. A repeat that would then be past its window is
+/// not begun, and one that is begun carries the window's end, counted from the first attempt that may have run.
+#[test]
+fn a_repeat_carries_the_end_of_its_window() {
+    let settings = Settings {
+        classes: vec![class(keyed(Group::All, 400.0))],
+        connect_timeout: Span::from_ms(250.0),
+        max_attempts: 6,
+        ..Settings::default()
+    };
+    for (ms, begun) in [(140.0, true), (160.0, false)] {
+        let mut rig = Rig::new(settings.clone(), 3);
+        rig.list(fleet(9, 3, 3));
+        let (id, _) = rig.ask(0);
+        rig.wait(Span::from_ms(20.0));
+        rig.answer(id, 0, Outcome::ConnectFailed, 20.0);
+        let may_have_run = rig.now;
+        let write_by = |rig: &Rig| {
+            let sent = rig.actions.iter().find_map(|a| match a {
+                Action::Send { write_by, .. } => Some(*write_by),
+                _ => None,
+            });
+            sent
+        };
+        assert_eq!(write_by(&rig), Some(None), "no repeat: the first attempt never ran");
+        rig.wait(Span::from_ms(ms));
+        rig.answer(id, 1, Outcome::ConnectionReset, ms);
+        let expected = begun.then(|| Some(may_have_run + Span::from_ms(400.0)));
+        assert_eq!(write_by(&rig), expected, "after {ms} ms");
+        rig.assert_rules();
+    }
+}
--- a/tests/observer_sees_breaches.rs
+++ b/tests/observer_sees_breaches.rs
@@ -18,7 +18,8 @@
 }
 
 fn send(server: u32, now: Time) -> Action {
-    Action::Send { request: RequestId(1), server: ServerId(server), timeout_at: now + Span::from_ms(1.0) }
+    let timeout_at = now + Span::from_ms(1.0);
+    Action::Send { request: RequestId(1), server: ServerId(server), timeout_at, write_by: None }
 }
 
 fn ended(outcome: Outcome, attempt: u32) -> Event {
@@ -84,7 +85,7 @@
     let later = now + Span::from_ms(1100.0);
     o.event(later, &Event::Request(Request::new(RequestId(2), ClassId(0), Span::from_ms(800.0))));
     let timeout_at = later + Span::from_ms(1.0);
-    o.action(later, &Action::Send { request: RequestId(2), server: ServerId(0), timeout_at });
+    o.action(later, &Action::Send { request: RequestId(2), server: ServerId(0), timeout_at, write_by: None });
     objects(&o, "draining or gone");
 
     let (mut o, now) = watch(Effect::Idempotent);
@@ -93,7 +94,8 @@
     let later = now + settings_window();
     for (id, now) in (2..13).map(|id| (id, if id == 2 { now } else { later })) {
         o.event(now, &Event::Request(Request::new(RequestId(id), ClassId(0), Span::from_ms(800.0))));
-        o.action(now, &Action::Send { request: RequestId(id), server: ServerId(0), timeout_at: now });
+        let (request, server) = (RequestId(id), ServerId(0));
+        o.action(now, &Action::Send { request, server, timeout_at: now, write_by: None });
     }
     objects(&o, "cold");
 }
