Set TCP_NODELAY on a client's connection at its first write, not as it is taken

At fault: `Server::connection` (agent/src/server.rs), which tried once.

Test: the_first_answer_goes_out_without_delay; without the call in `poll_write` it fails. The one on sockets that know no such option stays.

--- a/agent/src/framing.rs
+++ b/agent/src/framing.rs
@@ -131,6 +131,8 @@
     /// A head that was not whole at this length is not parsed again before more has come.
     parsed: usize,
     ended: bool,
+    /// Small writes do not wait for the acknowledgement of earlier ones.
+    nodelay: bool,
 }
 
 impl Framed {
@@ -144,9 +146,17 @@
             pass: 0,
             parsed: 0,
             ended: false,
+            nodelay: false,
         }
     }
 
+    /// Sets the option that has small writes go out at once; what waits is lost if the connection is reset. On a
+    /// connection that has just been taken that may fail and work a moment later, so it is tried before each write until it does.
+    /// Without it answers may be slower; that beats no answer.
+    fn set_nodelay(&mut self) {
+        self.nodelay = self.nodelay || self.io.inner().set_nodelay(true).is_ok();
+    }
+
     /// Reads more; false at the end of the stream. Memory is taken only once there is something to read. Behind a
     /// whole request no more than a head's length is kept, but all is read, or the client's leaving would stand
     /// unseen behind it.
@@ -285,6 +295,7 @@
 
 impl Write for Framed {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.set_nodelay();
         Pin::new(&mut self.io).poll_write(cx, buf)
     }
 
@@ -308,6 +319,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.set_nodelay();
         Pin::new(&mut self.io).poll_write_vectored(cx, bufs)
     }
 }
--- a/agent/src/framing/tests.rs
+++ b/agent/src/framing/tests.rs
@@ -1,4 +1,6 @@
 use super::*;
+use std::future::poll_fn;
+use tokio::net::TcpListener;
 
 fn framed(lines: &str) -> Frame {
     frame(format!("POST /pay HTTP/1.1\r\n{lines}\r\nrest").as_bytes())
@@ -49,3 +51,15 @@
     assert_eq!(frame(b"POST /pay HTTP/1.1\r\nContent-Le"), Frame::Partial);
     assert_eq!(frame(b"\0\x01\x02"), Frame::Unreadable);
 }
+
+/// A connection as it is taken, whose option could not be set then.
+#[tokio::test]
+async fn the_first_answer_goes_out_without_delay() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let client = TcpStream::connect(listener.local_addr().expect("an address"));
+    let (_client, taken) = tokio::join!(client, listener.accept());
+    let mut framed = Framed::new(taken.expect("a connection").0, Line::new());
+    assert!(!framed.io.inner().nodelay().expect("an option"));
+    poll_fn(|cx| Pin::new(&mut framed).poll_write(cx, b"x")).await.expect("it is written");
+    assert!(framed.io.inner().nodelay().expect("an option"));
+}
--- a/agent/src/server.rs
+++ b/agent/src/server.rs
@@ -206,8 +206,6 @@
     }
 
     async fn connection(self: Rc<Self>, stream: TcpStream, line: Rc<Line>, leave: Rc<Notify>) {
-        // Without it answers of one connection may wait for each other's acknowledgement; that beats no answer.
-        let _ = stream.set_nodelay(true);
         let taken = Instant::now();
         let mut end = self.end.subscribe();
         let (server, read) = (self.clone(), line.clone());
