Wait for the client's end behind a last answer before the connection is closed

Seen: by review of each close. hyper closes a connection as soon as the kernel has taken its last answer. What its client sends from then on finds a closed socket, the kernel resets the connection, and the part of the answer that a slow reader has not taken in is lost.

At fault: `Framed::poll_shutdown` (agent/src/framing.rs). It now reads and throws away what comes until the client ends, for half a second and 256 KiB at the most. Nothing of it is sent on. One that leaves gives way first.

Test: an_answer_on_its_way_to_a_slow_reader_survives_bytes_that_cross_the_close (without the mend it failed 5 of 5 times: connection reset by peer; 15 of 15 passed with it).

--- a/agent/src/framing.rs
+++ b/agent/src/framing.rs
@@ -22,6 +22,8 @@
 const MAX_HEADERS: usize = 100;
 /// Read at a time.
 const CHUNK: usize = 4 << 10;
+/// The most that is read and thrown away behind the last answer.
+const MAX_LINGER: usize = 256 << 10;
 
 /// What a connection is doing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -36,6 +38,8 @@
     Answered,
     /// All that came has its answer.
     Idle,
+    /// It has ended its sending; what still comes is read and thrown away.
+    Leaving,
 }
 
 /// What the wrapper and the connection's owner know of each other.
@@ -67,7 +71,8 @@
     /// What still comes of a request that is answered already does not open it again.
     fn enter(&self, phase: Phase) {
         let present = self.phase.get().0;
-        if present != phase && (present != Phase::Answered || phase == Phase::Idle) {
+        let opens = !matches!(phase, Phase::Idle | Phase::Leaving);
+        if present != phase && !(present == Phase::Answered && opens) {
             self.phase.set((phase, Instant::now()));
         }
     }
@@ -131,6 +136,8 @@
     /// A head that was not whole at this length is not parsed again before more has come.
     parsed: usize,
     ended: bool,
+    /// Read and thrown away behind the last answer.
+    lingered: usize,
     /// Small writes do not wait for the acknowledgement of earlier ones.
     nodelay: bool,
 }
@@ -146,6 +153,7 @@
             pass: 0,
             parsed: 0,
             ended: false,
+            lingered: 0,
             nodelay: false,
         }
     }
@@ -164,18 +172,23 @@
         if self.ended {
             return Poll::Ready(Ok(false));
         }
+        let mut chunk = [0; CHUNK];
+        let n = ready!(self.poll_chunk(cx, &mut chunk))?;
+        if matches!(self.stage, Stage::Whole) && self.ahead.len() + n > MAX_HEAD {
+            self.line.excess.set(true);
+        } else {
+            self.ahead.extend_from_slice(&chunk[..n]);
+        }
+        Poll::Ready(Ok(n > 0))
+    }
+
+    fn poll_chunk(&mut self, cx: &mut Context<'_>, chunk: &mut [u8]) -> Poll<io::Result<usize>> {
         loop {
             ready!(self.io.inner().poll_read_ready(cx))?;
-            let mut chunk = [0; CHUNK];
-            match self.io.inner().try_read(&mut chunk) {
+            match self.io.inner().try_read(chunk) {
                 Ok(n) => {
-                    if matches!(self.stage, Stage::Whole) && self.ahead.len() + n > MAX_HEAD {
-                        self.line.excess.set(true);
-                    } else {
-                        self.ahead.extend_from_slice(&chunk[..n]);
-                    }
                     self.ended = n == 0;
-                    return Poll::Ready(Ok(n > 0));
+                    return Poll::Ready(Ok(n));
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 Err(e) => return Poll::Ready(Err(e)),
@@ -183,6 +196,16 @@
         }
     }
 
+    /// Waits for the client's end after the last answer. A close over bytes that nobody reads would reset the
+    /// connection, and what the client has not taken in of its answer would be lost.
+    fn poll_linger(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let mut chunk = [0; CHUNK];
+        while !self.ended && self.lingered < MAX_LINGER {
+            self.lingered += ready!(self.poll_chunk(cx, &mut chunk))?;
+        }
+        Poll::Ready(Ok(()))
+    }
+
     /// Takes in what has come of a head; true if some of it can be passed on.
     fn take_head(&mut self) -> bool {
         if self.ahead.is_empty() {
@@ -307,7 +330,13 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_shutdown(cx)
+        ready!(Pin::new(&mut self.io).poll_shutdown(cx))?;
+        // Set only if the connection ends with an answer; over a resting one all answers have been read.
+        if !self.line.written.get() {
+            return Poll::Ready(Ok(()));
+        }
+        self.line.enter(Phase::Leaving);
+        self.poll_linger(cx)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/agent/src/server.rs
+++ b/agent/src/server.rs
@@ -42,6 +42,8 @@
 /// can cross: clients that ask once and stay use up what they may hold long before an idle connection is old enough
 /// to be closed.
 const CROWDED: f64 = 0.5;
+/// After its last answer a connection waits this long for its client to end it.
+const LINGER: Duration = Duration::from_millis(500);
 /// Where all places are taken, one that has said nothing for this long gives way: clients connect to ask.
 const MIN_MUTE: Duration = Duration::from_millis(100);
 /// How often a connection's time is looked at.
@@ -146,6 +148,7 @@
         let spare = |h: &&Held| match h.line.phase() {
             (Phase::Mute, since) => since.elapsed() >= MIN_MUTE,
             (Phase::Idle, since) => since.elapsed() >= MIN_IDLE,
+            (Phase::Leaving, _) => true,
             (Phase::Arriving | Phase::Open | Phase::Answered, _) => false,
         };
         let rank = |h: &&Held| (h.line.phase().0 == Phase::Idle, h.line.phase().1);
@@ -197,6 +200,7 @@
             // By then its client waits for it no more.
             (Phase::Answered, since) => since + self.longest.max(MIN_IDLE),
             (Phase::Idle, since) => since + if short { MIN_IDLE } else { MAX_IDLE },
+            (Phase::Leaving, since) => since + LINGER,
         };
         match (line.phase().0, *self.end.borrow()) {
             // Who connects to ask has asked by now; no others come.
@@ -225,7 +229,7 @@
                 // An error here is the client's leaving or its bad bytes; both concern this connection alone.
                 _ = connection.as_mut() => return,
                 // It may have spoken since it was asked to.
-                () = leave.notified() => if matches!(line.phase().0, Phase::Mute | Phase::Idle) {
+                () = leave.notified() => if matches!(line.phase().0, Phase::Mute | Phase::Idle | Phase::Leaving) {
                     return;
                 },
                 _ = end.wait_for(Option::is_some), if !told => {
--- a/agent/tests/common/mod.rs
+++ b/agent/tests/common/mod.rs
@@ -171,6 +171,13 @@
     .await;
 }
 
+/// Whether the agent's side of a connection has ended its sending, and some of that is still under way.
+pub fn closing(agent: SocketAddr, client: SocketAddr) -> bool {
+    // As the kernel lists it: both ends, then the state after a FIN that has no acknowledgement.
+    let line = format!(":{:04X} 0100007F:{:04X} 04 ", agent.port(), client.port());
+    std::fs::read_to_string("/proc/net/tcp").expect("the kernel's list").contains(&line)
+}
+
 pub fn host(name: &str, address: SocketAddr, health: &str) -> Value {
     json!({"host": name, "dial": address.to_string(), "site": "a", "class": "m", "block": 0, "health": health,
            "share": 1.0, "born_ms": 0})
--- a/agent/tests/ends.rs
+++ b/agent/tests/ends.rs
@@ -5,7 +5,7 @@
 use serde_json::Value;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpSocket;
 use tokio::sync::Notify;
 use tokio::time::sleep;
@@ -58,6 +58,26 @@
     assert!(agent.end().await.success());
 }
 
+/// The agent has written its last answer and closes, and the client still sends: a close over bytes that nobody reads
+/// would reset the connection, and what its client has not taken in by then would be lost.
+#[tokio::test]
+async fn an_answer_on_its_way_to_a_slow_reader_survives_bytes_that_cross_the_close() {
+    let backend = Backend::start(|_| Reply::Bytes(large())).await;
+    let (_directory, mut agent) = world(&backend, |_| {}).await;
+    let mut client = slow_reader(&agent).await;
+    agent.term().await;
+    let mut answer = Vec::new();
+    let mut part = [0; 64];
+    while !closing(agent.address, client.stream.local_addr().expect("an address")) {
+        let read = soon("more of the answer", client.stream.read(&mut part)).await;
+        answer.extend_from_slice(&part[..read.expect("the answer is cut")]);
+    }
+    client.stream.write_all(b"x").await.expect("it is written");
+    soon("the rest of the answer", client.stream.read_to_end(&mut answer)).await.expect("the answer is cut");
+    assert!(answer.ends_with(&[b'x'; 64 << 10]), "{} bytes came", answer.len());
+    assert!(agent.end().await.success());
+}
+
 /// A connection whose answer is on its way is not idle, and no place is won by closing it.
 #[tokio::test]
 async fn an_answer_on_its_way_to_a_slow_reader_does_not_count_as_idle_time() {
