Forget a server whose answer is slow next to the fleet's

From 7 s on 7 to 11 warm servers of 60 take 140 to 340 ms in the middle and the others 60 to 90; they are a tenth to a sixth of what agents send to and give 40 of 100 answers that are over half their aim (13 to 15 s: 192 of 487). Such answers also lower the admission probability. Ruled out: that only first meetings do this; a server stays remembered, and its kept connection wins the coin, until six others have been picked or an answer is late altogether.

At fault: `learn` (src/logic.rs), which dropped from memory only what fails or is late. Where all are slow nothing is dropped, or every request would cost a handshake.

Test: a_server_that_is_slow_next_to_the_others_is_not_remembered (without the lines it stays remembered).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -780,6 +780,11 @@
             }
             return;
         }
+        // Own counts do not tell of one that a neighbour slows, and it would stay remembered.
+        if self.blind && used >= SLOW_ANSWER && used > SLOW * median {
+            self.memory.retain(|&m| m != flight.server);
+        }
+        let s = &self.servers[flight.server];
         let slow = s.samples >= MIN_SAMPLES && s.pace > SLOW * median && s.pace > TARGET;
         let late = self.blind && used >= 1.0 && outcome != Outcome::Rejected;
         if s.failures >= MAX_FAILURES || slow || late || (self.blind && s.failures > 0) {
--- a/tests/blind.rs
+++ b/tests/blind.rs
@@ -432,3 +432,31 @@
         parts[1]
     );
 }
+
+/// A server that a neighbour slows holds no more of the balancer's own requests than others do, so it stayed remembered
+/// and was sent more than its share. Where all are slow it stays, or every request would open a connection.
+#[test]
+fn a_server_that_is_slow_next_to_the_others_is_not_remembered() {
+    for (others, kept) in [(20.0, false), (120.0, true)] {
+        let mut rig = Rig::new(settings(), 18);
+        rig.list(fleet(20, 1, 1));
+        serve(&mut rig, 20, 200, others, all_well);
+        let mut seen = 0;
+        while seen < 5 {
+            let (id, to) = rig.ask(0);
+            // Where all are slow most are refused.
+            let Some(to) = to else { continue };
+            let ms = if to.0 == 3 { 120.0 } else { others };
+            let mut actions = rig.wait(Span::from_ms(ms));
+            actions.extend_from_slice(rig.answer(id, 0, Outcome::Success, ms));
+            if to.0 == 3 {
+                seen += 1;
+                assert_eq!(
+                    !actions.contains(&Action::CloseIdle { server: to }),
+                    kept,
+                    "others take {others} ms"
+                );
+            }
+        }
+    }
+}
