--- a/agent/src/server/tests.rs
+++ b/agent/src/server/tests.rs
@@ -53,11 +53,62 @@
     tokio::task::LocalSet::new().run_until(serve).await;
 }
 
+const REQUEST: &[u8] = b"GET /read HTTP/1.1\r\nX-Request-ID: 1\r\nX-Priority-Class: read\r\n\
+    X-Timeout: 900m\r\n\r\n";
+
+/// A request that comes behind the last answer, over a connection whose sending has ended, is neither taken nor answered:
+/// its client asks again over another one. The connection does not stay for a client that stays.
+#[tokio::test(start_paused = true)]
+async fn what_comes_after_the_shutdown_is_not_taken() {
+    let serve = async {
+        let (stream, mut client) = optionless();
+        let line = Line::new();
+        let mut connection = pin!(server().connection(stream, line.clone(), Rc::default()));
+        client.write_all(b"GET /ready HTTP/1.1\r\nConnection: close\r\n\r\n").await.expect("it is written");
+        while line.phase().0 != Phase::Leaving {
+            assert!(poll_fn(|cx| Poll::Ready(connection.as_mut().poll(cx).is_pending())).await);
+            tokio::task::yield_now().await;
+        }
+        client.write_all(REQUEST).await.expect("it is written");
+        let left = Instant::now();
+        connection.await;
+        assert!(left.elapsed() <= 2 * LINGER);
+        let mut answers = String::new();
+        // A close over bytes that nobody has read would be an error here.
+        client.read_to_string(&mut answers).await.expect("a plain end");
+        assert_eq!(answers.matches("HTTP/1.1 ").count(), 1, "{answers}");
+        assert_eq!(line.phase().0, Phase::Leaving);
+    };
+    tokio::task::LocalSet::new().run_until(serve).await;
+}
+
+/// A request that has come by the time the planned end is seen is taken before its resting connection closes.
+#[tokio::test]
+async fn a_request_ahead_of_the_planned_end_is_taken() {
+    let serve = async {
+        let (stream, mut client) = optionless();
+        let (server, line) = (server(), Line::new());
+        let mut connection = pin!(server.clone().connection(stream, line.clone(), Rc::default()));
+        let mut waits = async || poll_fn(|cx| Poll::Ready(connection.as_mut().poll(cx).is_pending())).await;
+        client.write_all(b"GET /ready HTTP/1.1\r\n\r\n").await.expect("it is written");
+        while line.phase().0 != Phase::Idle {
+            assert!(waits().await);
+            tokio::task::yield_now().await;
+        }
+        client.write_all(REQUEST).await.expect("it is written");
+        let now = Instant::now();
+        server.end.send_replace(Some(End { accept: now, answer: now + Duration::from_secs(60) }));
+        // The runtime looks at its sockets before the time is over.
+        sleep(Duration::from_millis(5)).await;
+        assert!(waits().await, "it has closed");
+        assert_eq!(line.phase().0, Phase::Open);
+    };
+    tokio::task::LocalSet::new().run_until(serve).await;
+}
+
 /// A mute connection is asked to give way, and its first request has come by the time it looks.
 #[tokio::test]
 async fn a_connection_that_speaks_as_it_is_to_give_way_stays() {
-    const REQUEST: &[u8] = b"GET /read HTTP/1.1\r\nX-Request-ID: 1\r\nX-Priority-Class: read\r\n\
-        X-Timeout: 900m\r\n\r\n";
     let serve = async {
         let (stream, mut client) = optionless();
         let (line, leave) = (Line::new(), Rc::<Notify>::default());
--- a/agent/tests/clients.rs
+++ b/agent/tests/clients.rs
@@ -53,6 +53,34 @@
     assert!(kept.len() >= 5, "few connections are all kept");
 }
 
+/// A flood of clients that send much behind one request and go, by a reset or an end: more of them than there are places.
+/// Those who ask properly are served meanwhile, memory stays small, and nothing of the flood goes on.
+#[tokio::test]
+async fn a_flood_of_bursts_costs_neither_places_nor_memory() {
+    let (mut backend, _directory, agent) = world(80).await;
+    let burst = vec![b'x'; 256 << 10];
+    for number in 0..100 {
+        let mut client = agent.client().await;
+        client.send(&request("GET", "/read/flood", "20000m", "")).await;
+        // The agent may end the connection before all of it is out.
+        let _ = client.stream.write_all(&burst).await;
+        if number % 2 == 0 {
+            client.stream.set_zero_linger().expect("an option");
+        }
+        drop(client);
+        if number % 10 == 0 {
+            let asked = Instant::now();
+            assert_eq!(agent.get("/read/good").await.status(), 200);
+            assert!(asked.elapsed() < Duration::from_secs(10), "{:?}", asked.elapsed());
+        }
+    }
+    assert!(agent.max_memory_kb() < 32 << 10, "{} kB", agent.max_memory_kb());
+    while let Ok(seen) = backend.seen.try_recv() {
+        let line = seen.first_line();
+        assert!(matches!(line, "GET /read/flood HTTP/1.1" | "GET /read/good HTTP/1.1"), "{line}");
+    }
+}
+
 /// A connection is not given up for want of room while a request of it is open.
 #[tokio::test]
 async fn a_connection_with_a_request_open_never_gives_way() {
--- a/agent/tests/service.rs
+++ b/agent/tests/service.rs
@@ -60,6 +60,20 @@
     assert_eq!(agent.get("/read").await.status(), 200);
 }
 
+/// A restarted agent has the list that it had before, and serves by it while discovery is silent, down or gone.
+#[tokio::test]
+async fn an_agent_with_a_list_is_ready_at_once_whatever_discovery_does() {
+    let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let (mute, down) = (Directory::start(Mood::Mute).await, Directory::start(Mood::Down).await);
+    let (gone, _reserved) = nobody();
+    for address in [mute.address, down.address, gone] {
+        let agent = Agent::start(address, &[host("s", backend.address, "up")]).await;
+        let answer = agent.client().await.ask("GET /ready HTTP/1.1\r\n\r\n").await;
+        assert_eq!(answer.status(), 200);
+        assert_eq!(agent.get("/read").await.status(), 200);
+    }
+}
+
 /// A watch goes on from the version of its last answer, and a backend that drains gets nothing new.
 #[tokio::test]
 async fn the_list_is_followed_and_a_draining_backend_gets_nothing_new() {
