--- a/agent/src/config.rs
+++ b/crates/balancer-agent/src/config.rs
@@ -1,8 +1,8 @@
 //! What the agent is told at its start: the `PROXY_*` variables and the file that `PROXY_CONFIG` names.
 
 use crate::discovery::{self, List};
-use micasail::{Discovery, Settings};
-use micasail_settings::{Names, Params};
+use balancer_core::{DiscoveryMode, Settings};
+use balancer_settings::{Names, Params};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -85,14 +85,14 @@
         };
         let listen = address("PROXY_LISTEN", file.listen)?;
         let discovery = address("PROXY_DISCOVERY", file.discovery)?;
-        let mut settings = micasail_settings::settings(&file.settings);
+        let mut settings = balancer_settings::settings(&file.settings);
         // Nothing is pushed over these sockets: the list comes to whoever keeps up a watch.
-        settings.discovery = Discovery::OnRequest;
+        settings.discovery_mode = DiscoveryMode::OnRequest;
         // And what discovery has counts as told whether a watch is open or not, so that one that broke must be begun
         // anew well within a drain's time, however often it has.
-        settings.ask_within = settings.ask_within.min(settings.drain_grace);
+        settings.max_poll_interval = settings.max_poll_interval.min(settings.drain_grace);
         settings.check().map_err(|e| e.to_string())?;
-        let names = micasail_settings::names(&file.settings);
+        let names = balancer_settings::names(&file.settings);
         // In the simulator a connection comes up in the instant of the decision, or the attempt has failed.
         settings.connect_timeout = names.connect_timeout;
         if let Some(place) = names.classes.iter().position(String::is_empty) {
@@ -111,7 +111,7 @@
             listen,
             discovery,
             // Any text makes a seed; only the form of the deployment's own is read as a number.
-            seed: u64::from_str_radix(&seed, 16).unwrap_or_else(|_| micasail_settings::fnv1a(&seed)),
+            seed: u64::from_str_radix(&seed, 16).unwrap_or_else(|_| balancer_settings::fnv1a(&seed)),
             sockets: file.limits.sockets.unwrap_or(SOCKETS).min(MAX_SOCKETS),
             settings,
             names,
--- a/agent/src/discovery.rs
+++ b/crates/balancer-agent/src/discovery.rs
@@ -1,7 +1,7 @@
-//! The server list: reading it, watching it, asking for the whole of it.
+//! The server list: reading it and watching it.
 //!
-//! When to begin a watch and when to ask again after a failure is the balancer's to say
-//! ([`micasail::Action::Follow`], [`micasail::Action::FetchList`]); a watch once begun is kept up here.
+//! When to begin a watch, and when to begin one again after a failure, is the balancer's to say
+//! ([`balancer_core::Action::WatchEndpoints`]); a watch once begun is kept up here.
 
 use crate::driver::Driver;
 use bytes::Bytes;
@@ -101,49 +101,33 @@
     })
 }
 
-/// The calls to discovery; at most one watch and one call for the whole list at a time.
+/// The calls to discovery; at most one watch at a time.
 pub struct Discovery {
     address: SocketAddr,
     watch: Option<JoinHandle<()>>,
-    fetch: Option<JoinHandle<()>>,
 }
 
 impl Discovery {
     /// Knows where discovery is; calls nobody yet.
     pub fn new(address: SocketAddr) -> Self {
-        Discovery { address, watch: None, fetch: None }
+        Discovery { address, watch: None }
     }
 
     /// Discovery has moved: calls to the old address, and their connections, end.
     pub fn relocate(&mut self, address: SocketAddr) {
         self.address = address;
-        for call in [self.watch.take(), self.fetch.take()].into_iter().flatten() {
-            call.abort();
+        if let Some(watch) = self.watch.take() {
+            watch.abort();
         }
     }
 
-    /// Begins a watch for what is newer than `seq`, or ends the one there is. With no `seq` it begins with the
+    /// Begins a watch for what is newer than `seq`, in place of the one there may be. With no `seq` it begins with the
     /// whole list.
-    pub fn follow(&mut self, driver: &Rc<Driver>, active: bool, seq: Option<u64>) {
+    pub fn watch(&mut self, driver: &Rc<Driver>, seq: Option<u64>) {
         if let Some(watch) = self.watch.take() {
             watch.abort();
         }
-        if active {
-            let watch = watch(self.address, driver.clone(), seq);
-            self.watch = Some(tokio::task::spawn_local(watch));
-        }
-    }
-
-    /// Asks for the whole list once.
-    pub fn fetch(&mut self, driver: &Rc<Driver>) {
-        if self.fetch.as_ref().is_some_and(|f| !f.is_finished()) {
-            return;
-        }
-        let (address, driver) = (self.address, driver.clone());
-        self.fetch = Some(tokio::task::spawn_local(async move {
-            let mut connection = None;
-            driver.listed(call(address, &mut connection, "/v1/endpoints", Duration::ZERO).await);
-        }));
+        self.watch = Some(tokio::task::spawn_local(watch(self.address, driver.clone(), seq)));
     }
 }
 
--- a/agent/src/driver.rs
+++ b/crates/balancer-agent/src/driver.rs
@@ -6,12 +6,12 @@
 use crate::config::Config;
 use crate::discovery::{Discovery, Health, List};
 use crate::upstream::{Ended, Progress, Upstream};
+use balancer_core::*;
+use balancer_settings::{fnv1a, Names};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH};
 use hyper::{Method, Request, StatusCode, Uri};
-use micasail::*;
-use micasail_settings::{fnv1a, Names};
 use std::cell::RefCell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
@@ -73,7 +73,7 @@
     /// Its tenant.
     pub tenant: Option<TenantId>,
     /// What it is about.
-    pub key: Option<KeyId>,
+    pub key: Option<RoutingKey>,
     /// A guess at its work.
     pub cost_hint: Option<Span>,
     /// The client says that it is a repeat.
@@ -172,7 +172,7 @@
         {
             let mut state = driver.state.borrow_mut();
             let list = driver.take_list(&mut state, config.known);
-            state.queue.push_back(Event::List(ListUpdate::Saved(list)));
+            state.queue.push_back(Event::Endpoints(EndpointUpdate::Cached(list)));
             for action in actions {
                 driver.carry_out(&mut state, action);
             }
@@ -193,13 +193,13 @@
             let mut state = self.state.borrow_mut();
             let id = RequestId(state.next_request);
             state.next_request += 1;
-            let request = micasail::Request {
+            let request = balancer_core::Request {
                 id,
                 class: arrival.class,
                 tenant: arrival.tenant,
-                key: arrival.key,
+                routing_key: arrival.key,
                 cost_hint: arrival.cost_hint,
-                repeat: arrival.repeat,
+                is_client_retry: arrival.repeat,
                 time_left: self.clock.at(arrival.deadline).since(self.clock.now()),
             };
             state.open.insert(id, Open { answer, parts: Rc::new(arrival), sends: 0, timed_out: false });
@@ -217,7 +217,7 @@
             let mut state = self.state.borrow_mut();
             let Some(open) = state.open.remove(&id) else { return };
             state.stop_unwritten(id, open.sends);
-            state.queue.push_back(Event::ClientGone { request: id });
+            state.queue.push_back(Event::ClientDisconnected { request: id });
         }
         self.pump();
     }
@@ -227,11 +227,11 @@
         {
             let mut state = self.state.borrow_mut();
             let update = match list {
-                None => ListUpdate::Failed,
-                Some(list) if list.whole => ListUpdate::Complete(self.take_list(&mut state, list)),
-                Some(list) => ListUpdate::Changes(self.take_list(&mut state, list)),
+                None => EndpointUpdate::Failed,
+                Some(list) if list.whole => EndpointUpdate::Complete(self.take_list(&mut state, list)),
+                Some(list) => EndpointUpdate::Changes(self.take_list(&mut state, list)),
             };
-            state.queue.push_back(Event::List(update));
+            state.queue.push_back(Event::Endpoints(update));
         }
         self.pump();
     }
@@ -241,7 +241,7 @@
         let mut state = self.state.borrow_mut();
         state.seq = None;
         state.discovery.relocate(address);
-        state.discovery.follow(self, true, None);
+        state.discovery.watch(self, None);
     }
 
     /// Wakes the balancer when a timer is due, and looks after idle connections; never ends.
@@ -262,7 +262,7 @@
                         break;
                     }
                     state.timers.pop();
-                    state.queue.push_back(Event::Timer(TimerId(timer)));
+                    state.queue.push_back(Event::TimerDue(TimerId(timer)));
                 }
             }
             self.pump();
@@ -296,7 +296,7 @@
                     progress.call_off();
                 }
             }
-            Action::Refuse { request, retry_after } => state.answer(request, Answer::Refused(retry_after)),
+            Action::Reject { request, retry_after } => state.answer(request, Answer::Refused(retry_after)),
             Action::Fail { request } => {
                 let late = state.open.get(&request).is_some_and(|open| open.timed_out);
                 let status = if late { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY };
@@ -309,15 +309,14 @@
                     self.wake.notify_one();
                 }
             }
-            Action::Probe { server } => self.probe(server),
+            Action::CheckHealth { server } => self.probe(server),
             Action::CloseIdle { server } => self.upstream.close_idle(server),
-            Action::Follow { active } => {
+            Action::WatchEndpoints => {
                 let seq = state.seq;
-                state.discovery.follow(self, active, seq);
+                state.discovery.watch(self, seq);
             }
-            Action::FetchList => state.discovery.fetch(self),
             // Agents of this deployment have no way to talk to each other, and the settings say so.
-            Action::Tell { .. } => {}
+            Action::Gossip { .. } => {}
             Action::Log { text } => eprintln!("{text}"),
         }
     }
@@ -358,13 +357,13 @@
                 open.timed_out = ended.outcome == Outcome::TimedOut;
             }
             let closed = !state.open.contains_key(&key.0);
-            state.queue.push_back(Event::Outcome {
+            state.queue.push_back(Event::AttemptEnded {
                 request: key.0,
-                attempt: AttemptNo(key.1),
+                attempt: AttemptNumber(key.1),
                 outcome: ended.outcome,
                 elapsed,
-                report: ended.report,
-                closed,
+                load_report: ended.report,
+                is_request_finished: closed,
             });
         }
         self.pump();
@@ -376,13 +375,18 @@
             let sent = Instant::now();
             let Ended { outcome, report, .. } = driver.upstream.probe(server).await;
             let elapsed = Span(sent.elapsed().as_micros() as u64);
-            driver.state.borrow_mut().queue.push_back(Event::Probed { server, outcome, elapsed, report });
+            driver.state.borrow_mut().queue.push_back(Event::HealthChecked {
+                server,
+                outcome,
+                elapsed,
+                load_report: report,
+            });
             driver.pump();
         });
     }
 
     /// Takes in where the servers of a list are reached, and puts the list in the balancer's terms.
-    fn take_list(&self, state: &mut State, list: List) -> Vec<Listed> {
+    fn take_list(&self, state: &mut State, list: List) -> Vec<Endpoint> {
         state.seq = Some(list.seq);
         let mut lines = Vec::with_capacity(list.hosts.len());
         if list.whole {
@@ -392,23 +396,23 @@
             let server = state.intern(&host.name);
             self.upstream.describe(server, host);
             let status = match host.health {
-                Health::Up => Status::Serving,
-                Health::Draining => Status::Draining,
-                Health::Removed => Status::Gone,
+                Health::Up => EndpointStatus::Serving,
+                Health::Draining => EndpointStatus::Draining,
+                Health::Removed => EndpointStatus::Removed,
             };
-            if status == Status::Serving {
+            if status == EndpointStatus::Serving {
                 state.up.insert(server);
             } else {
                 state.up.remove(&server);
             }
-            lines.push(Listed {
+            lines.push(Endpoint {
                 server,
                 zone: ZoneId(place(&self.names.zones, &host.site)),
-                kind: KindId(place(&self.names.kinds, &host.kind)),
+                machine_kind: MachineKindId(place(&self.names.kinds, &host.kind)),
                 cell: CellId(host.block),
                 status,
                 weight: host.share,
-                started: (host.born_ms > 0.0).then(|| Time::from_ms(host.born_ms)),
+                started_at: (host.born_ms > 0.0).then(|| Time::from_ms(host.born_ms)),
             });
         }
         if list.whole {
@@ -438,9 +442,9 @@
     }
 
     /// Forgets the names of servers that left long ago; `lines` are the latest news of the list.
-    fn forget(&mut self, whole: bool, lines: &[Listed]) {
+    fn forget(&mut self, whole: bool, lines: &[Endpoint]) {
         let now = Instant::now();
-        let gone = |l: &&Listed| l.status == Status::Gone;
+        let gone = |l: &&Endpoint| l.status == EndpointStatus::Removed;
         for line in lines {
             self.left.remove(&line.server);
         }
--- a/agent/src/main.rs
+++ b/crates/balancer-agent/src/main.rs
@@ -1,5 +1,5 @@
 //! A client-side load-balancing agent: HTTP/1.1 from the application beside it, HTTP/1.1 to the backends, and
-//! the decisions of `micasail` in between.
+//! the decisions of `balancer_core` in between.
 
 mod config;
 mod discovery;
@@ -26,7 +26,7 @@
     match start() {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
-            eprintln!("bellcroft: {why}");
+            eprintln!("balancer-agent: {why}");
             ExitCode::from(2)
         }
     }
--- a/agent/src/server.rs
+++ b/crates/balancer-agent/src/server.rs
@@ -3,6 +3,8 @@
 use crate::driver::{Answer, Arrival, Driver};
 use crate::framing::{Framed, Line, Phase, MAX_HEAD};
 use crate::upstream::{forwarded, MAX_BODY};
+use balancer_core::{ClassId, Effect, RequestId, RoutingKey, Span, TenantId};
+use balancer_settings::fnv1a;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -10,8 +12,6 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use micasail::{ClassId, Effect, KeyId, RequestId, Span, TenantId};
-use micasail_settings::fnv1a;
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
@@ -358,7 +358,7 @@
         Ok(Arrival {
             class: ClassId(class),
             tenant,
-            key: key.map(|key| KeyId(fnv1a(key))),
+            key: key.map(|key| RoutingKey(fnv1a(key))),
             cost_hint: cost.filter(|us| *us > 0.0 && us.is_finite()).map(|us| Span::from_ms(us / 1e3)),
             repeat: text(&head.headers, "x-retried") == Some("1"),
             deadline: Instant::now() + (wait - room),
@@ -417,7 +417,7 @@
         Answer::Refused(after) => {
             let mut response = plain(StatusCode::TOO_MANY_REQUESTS, "refused; trying again is harmless");
             let after =
-                after.and_then(|after| HeaderValue::from_str(&format!("{:.3}", after.ms() / 1e3)).ok());
+                after.and_then(|after| HeaderValue::from_str(&format!("{:.3}", after.as_ms() / 1e3)).ok());
             response.headers_mut().extend(after.map(|after: HeaderValue| (RETRY_AFTER, after)));
             response
         }
--- a/agent/src/server/tests.rs
+++ b/crates/balancer-agent/src/server/tests.rs
@@ -1,8 +1,8 @@
 use super::*;
 use crate::config::Config;
 use crate::discovery::List;
-use micasail::Settings;
-use micasail_settings::{names, Names, Params};
+use balancer_core::Settings;
+use balancer_settings::{names, Names, Params};
 use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
--- a/agent/src/upstream.rs
+++ b/crates/balancer-agent/src/upstream.rs
@@ -4,6 +4,7 @@
 //! an exchange (a time-out, a cancel, an error) ends its connection with it.
 
 use crate::discovery::{Health, Host};
+use balancer_core::{Outcome, ServerId};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Body;
@@ -12,7 +13,6 @@
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use micasail::{Outcome, ServerId};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
--- a/agent/tests/common/mod.rs
+++ b/crates/balancer-agent/tests/common/mod.rs
@@ -281,14 +281,15 @@
 
 pub fn write_config(text: &str) -> PathBuf {
     static NUMBER: AtomicUsize = AtomicUsize::new(0);
-    let name = format!("bellcroft-{}-{}.json", std::process::id(), NUMBER.fetch_add(1, Ordering::SeqCst));
+    let name =
+        format!("balancer-agent-{}-{}.json", std::process::id(), NUMBER.fetch_add(1, Ordering::SeqCst));
     let file = std::env::temp_dir().join(name);
     std::fs::write(&file, text).expect("a file");
     file
 }
 
 pub fn command(file: &PathBuf) -> Command {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_bellcroft"));
+    let mut command = Command::new(env!("CARGO_BIN_EXE_balancer-agent"));
     command.env_clear().env("PROXY_CONFIG", file).stderr(Stdio::piped()).kill_on_drop(true);
     command
 }
--- a/agent/tests/service.rs
+++ b/crates/balancer-agent/tests/service.rs
@@ -244,7 +244,7 @@
         assert!(!output.status.success());
         let log = String::from_utf8(output.stderr).expect("UTF-8");
         assert_eq!(log.lines().count(), 1, "{log}");
-        assert!(log.starts_with("bellcroft: "), "{log}");
+        assert!(log.starts_with("balancer-agent: "), "{log}");
     }
 }
 
@@ -257,7 +257,7 @@
     let file = write_config(&config(directory.address, &[host("s", backend.address, "up")]).to_string());
     let mut command = tokio::process::Command::new("sh");
     command
-        .args(["-c", "ulimit -n 40; exec \"$0\"", env!("CARGO_BIN_EXE_bellcroft")])
+        .args(["-c", "ulimit -n 40; exec \"$0\"", env!("CARGO_BIN_EXE_balancer-agent")])
         .env("PROXY_CONFIG", &file)
         .stderr(std::process::Stdio::piped())
         .kill_on_drop(true);
--- /dev/null
+++ b/crates/balancer-core/src/ids.rs
@@ -0,0 +1,34 @@
+//! Names of the things that events and actions speak of. All of them are chosen by the caller.
+
+macro_rules! id_types {
+    ($($(#[$doc:meta])* $name:ident($inner:ty)),* $(,)?) => {$(
+        $(#[$doc])*
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+        pub struct $name(pub $inner);
+    )*};
+}
+
+id_types! {
+    /// A request; never used twice in the life of a balancer.
+    RequestId(u64),
+    /// A server; the same while the machine is, and the same at every balancer.
+    ServerId(u32),
+    /// A request class: its index in [`Settings::classes`](crate::Settings::classes).
+    ClassId(usize),
+    /// A tenant: its index in [`Settings::tenants`](crate::Settings::tenants).
+    TenantId(usize),
+    /// A zone, as the endpoint list numbers them.
+    ZoneId(u32),
+    /// A kind of machine, as the endpoint list numbers them.
+    MachineKindId(u32),
+    /// A cell (servers that share a record of the requests they have run), as the endpoint list numbers them.
+    CellId(u32),
+    /// The object that a request concerns; requests for the same object carry the same key.
+    RoutingKey(u64),
+    /// An attempt of a request: 0 for its first send, 1 for its second and so on.
+    AttemptNumber(u32),
+    /// A timer; chosen by the balancer and returned when the timer is due.
+    TimerId(u64),
+    /// Another balancer of the same service.
+    PeerId(u32),
+}
--- /dev/null
+++ b/crates/balancer-core/src/policy.rs
@@ -0,0 +1,29 @@
+//! The decisions: where, when and how often requests are sent, and which are rejected. The deploy file lists
+//! every file of this module under `policy`; together they hold at most 1,200 lines that are not blank (BENCH
+//! page).
+
+mod admission;
+mod concurrency;
+mod deadline;
+mod feedback;
+mod lifecycle;
+mod load_polling;
+mod outlier;
+mod overdue;
+mod retry;
+mod routing;
+mod selection;
+mod shedding;
+mod slow_start;
+mod suspicion;
+mod wait_queue;
+mod watch;
+
+pub use admission::AdmissionControl;
+pub use concurrency::ConcurrencyLimit;
+pub use load_polling::POLL_TIMER;
+pub use outlier::Ejection;
+pub use retry::new_retry_budget;
+pub use shedding::ShedOrder;
+pub use suspicion::new_gossip_budget;
+pub use watch::WatchRetry;
--- /dev/null
+++ b/crates/balancer-core/src/policy/admission.rs
@@ -0,0 +1,85 @@
+//! Admission control: the probability with which requests are admitted, learned from latencies.
+//!
+//! It scales all concurrency limits. A balancer sees few answers of each server but many of the fleet, so a
+//! jam of most servers is answered within a few round trips, where the single limits would take half a
+//! minute. In a sparse view limits per server bind nothing, and the probability itself decides.
+
+use super::concurrency::TARGET_RATIO;
+use super::ShedOrder;
+use crate::state::FleetView;
+use crate::Balancer;
+
+/// An answer is slow from this latency ratio on: by then a server holds several requests for each core, and
+/// one that does so for long turns slow for longer. Late answers alone are a sign that comes too late.
+pub const SLOW_RATIO: f64 = 2.0 * TARGET_RATIO;
+/// The probability loses this share of itself in a round trip of slow answers, and gains `GAIN` of its root
+/// in one of good ones: a quarter of slow answers holds it, low probabilities catch up.
+const CUT: f64 = 0.6;
+const GAIN: f64 = 0.2;
+/// In a sparse view this many answers count as a round trip at least, or one slow answer would shut the
+/// balancer; and this share is always admitted, or the end of a jam would never be seen.
+const MIN_ROUND: usize = 4;
+const MIN_PROBABILITY: f64 = 0.02;
+/// Classes that are shed first keep this part of the probability, so that none is shut out.
+const MIN_CLASS_PART: f64 = 0.5;
+
+/// The admission probability and the fleet that it was learned on.
+pub struct AdmissionControl {
+    pub probability: f64,
+    /// Capacity of the serving fleet, in warm servers.
+    fleet_capacity: f64,
+}
+
+impl AdmissionControl {
+    /// Admits everything.
+    pub fn new() -> Self {
+        AdmissionControl { probability: 1.0, fleet_capacity: 0.0 }
+    }
+
+    /// Takes in the capacity of the serving fleet, in warm servers. In a sparse view the probability goes
+    /// with it: the list tells of a fleet that shrinks before any server is slow, and once they are slow they
+    /// stay so; one that warms up bears more. An empty list says nothing of what comes after it.
+    pub fn follow_capacity(&mut self, capacity: f64, view: FleetView) {
+        if capacity <= 0.0 {
+            return;
+        }
+        if view == FleetView::Sparse && self.fleet_capacity > 0.0 {
+            let scaled = self.probability * capacity / self.fleet_capacity;
+            self.probability = scaled.clamp(MIN_PROBABILITY, 1.0);
+        }
+        self.fleet_capacity = capacity;
+    }
+
+    /// The probability for requests of this rank: what is shed first gives way, the others get what it
+    /// leaves.
+    fn probability_for(&self, order: ShedOrder, shed_first_share: f64) -> f64 {
+        let floor = MIN_CLASS_PART * self.probability;
+        let first = floor.max((self.probability - (1.0 - shed_first_share)) / shed_first_share);
+        match order {
+            _ if shed_first_share <= 0.0 || shed_first_share >= 1.0 => self.probability,
+            ShedOrder::First => first,
+            ShedOrder::Last => (self.probability - shed_first_share * first) / (1.0 - shed_first_share),
+        }
+    }
+}
+
+impl Balancer {
+    /// Whether a request of this rank is admitted.
+    pub(crate) fn admits(&mut self, order: ShedOrder) -> bool {
+        let shed_first_share = self.shed_first_share();
+        !self.is_sparse() || self.rng.f64() < self.admission.probability_for(order, shed_first_share)
+    }
+
+    /// Moves the admission probability by one answer.
+    pub(crate) fn adapt_admission(&mut self, ratio: f64) {
+        let answers = self.in_flight.len() + 1;
+        let (round, min_probability) = match self.registry.view {
+            FleetView::Sparse => (MIN_ROUND.max(answers), MIN_PROBABILITY),
+            FleetView::Dense => (answers, 1.0 / f64::from(self.settings.balancer_count.max(1))),
+        };
+        let probability = self.admission.probability;
+        let is_slow = ratio >= SLOW_RATIO;
+        let step = if is_slow { -CUT * probability } else { GAIN * probability.sqrt() };
+        self.admission.probability = (probability + step / round as f64).clamp(min_probability, 1.0);
+    }
+}
--- /dev/null
+++ b/crates/balancer-core/src/policy/outlier.rs
@@ -0,0 +1,101 @@
+//! Outlier detection: servers that fail or are slow are ejected, and probed with single requests until they
+//! are well again.
+
+use super::concurrency::TARGET_RATIO;
+use super::feedback::LATE_RATIO;
+use crate::state::{EjectionReason, ServerIndex, ServerLatency};
+use crate::{Action, Balancer, Outcome, Span, Time};
+
+/// A server is slow at this multiple of the fleet's median latency; under it, counts alone shift the load.
+pub const OUTLIER_FACTOR: f64 = 3.0;
+/// The median counts as this at least when a probe is judged.
+const MIN_PROBE_MEDIAN: f64 = 0.1;
+/// Samples needed before a server can be called slow; one costly request is no evidence.
+const MIN_SAMPLES: u32 = 4;
+/// Failures in a row, with no success between, that eject a server.
+const MAX_FAILURES: u32 = 3;
+/// At most this share of the serving fleet is ejected; beyond it the fault is not the servers'.
+const MAX_EJECTED_SHARE: f64 = 0.75;
+/// First and longest interval between two probes of an ejected server, and its growth with each failed one.
+const MIN_PROBE_INTERVAL: Span = Span(250_000);
+const MAX_PROBE_INTERVAL: Span = Span(4_000_000);
+const PROBE_BACKOFF: f64 = 2.0;
+/// Any request may probe a server that no idempotent one has probed for this many further intervals.
+const UNSAFE_PROBE_INTERVALS: f64 = 2.0;
+
+/// The state of an ejected server.
+pub struct Ejection {
+    next_probe: Time,
+    interval: Span,
+    is_probing: bool,
+}
+
+impl Ejection {
+    fn new(now: Time) -> Self {
+        Ejection { next_probe: now + MIN_PROBE_INTERVAL, interval: MIN_PROBE_INTERVAL, is_probing: false }
+    }
+
+    /// Whether a request may probe the server now. Idempotent ones go first, but a service without an
+    /// idempotent class must take its servers back too.
+    pub fn is_probe_due(&self, now: Time, is_idempotent: bool) -> bool {
+        let wait = if is_idempotent { Span::ZERO } else { self.interval * UNSAFE_PROBE_INTERVALS };
+        !self.is_probing && now >= self.next_probe + wait
+    }
+
+    /// A probe is on its way.
+    pub fn start_probe(&mut self) {
+        self.is_probing = true;
+    }
+
+    fn fail_probe(&mut self, now: Time) {
+        let interval = (self.interval * PROBE_BACKOFF).min(MAX_PROBE_INTERVAL);
+        *self = Ejection { next_probe: now + interval, interval, is_probing: false };
+    }
+}
+
+impl Balancer {
+    /// Judges the probe of an ejected server: a good answer takes it back, any other has it wait longer.
+    pub(crate) fn finish_probe(&mut self, server: ServerIndex, outcome: Outcome, ratio: f64) {
+        let limit = OUTLIER_FACTOR * self.latency.median_ratio.max(MIN_PROBE_MEDIAN);
+        let server = &mut self.registry[server];
+        if outcome == Outcome::Success && ratio < limit {
+            server.health.ejection = None;
+            server.health.failures = 0;
+            server.latency = ServerLatency::restarted(ratio);
+        } else if let Some(ejection) = &mut server.health.ejection {
+            ejection.fail_probe(self.now);
+        }
+    }
+
+    /// Ejects a server that the last outcome shows to be an outlier. In a sparse view a single sign has to
+    /// do: the next own request to the server may be minutes away.
+    pub(crate) fn eject_outlier(&mut self, index: ServerIndex, outcome: Outcome, ratio: f64) {
+        let ServerLatency { ratio: smoothed_ratio, samples, .. } = self.registry[index].latency;
+        let failures = self.registry[index].health.failures;
+        let slow_limit = OUTLIER_FACTOR * self.latency.median_ratio;
+        let is_slow = samples >= MIN_SAMPLES && smoothed_ratio > slow_limit && smoothed_ratio > TARGET_RATIO;
+        let is_late = ratio >= LATE_RATIO && outcome != Outcome::Rejected;
+        if failures >= MAX_FAILURES || is_slow || (self.is_sparse() && (is_late || failures > 0)) {
+            self.eject(index, if is_slow { EjectionReason::Slow } else { EjectionReason::Failing });
+        }
+    }
+
+    /// Takes a server out of the draw and out of memory, unless too many are out already. In a sparse view it
+    /// comes under suspicion instead.
+    pub(crate) fn eject(&mut self, index: ServerIndex, reason: EjectionReason) {
+        if self.is_sparse() {
+            return self.suspect(index);
+        }
+        let serving = self.registry.serving.len() as f64;
+        let ejected = self.registry.serving_states().filter(|s| s.health.ejection.is_some()).count();
+        let server = &mut self.registry[index];
+        if server.health.ejection.is_some() || (ejected + 1) as f64 > MAX_EJECTED_SHARE * serving {
+            return;
+        }
+        server.health.ejection = Some(Ejection::new(self.now));
+        self.memory.forget(index);
+        let (id, ratio, median) = (server.endpoint.server.0, server.latency.ratio, self.latency.median_ratio);
+        let text = format!("server {id} {reason}: pace {ratio:.2} of median {median:.2}");
+        self.actions.push(Action::Log { text });
+    }
+}
--- /dev/null
+++ b/crates/balancer-core/src/state/load_report.rs
@@ -0,0 +1,50 @@
+//! What load reports say of servers, and the polls for them that are open.
+
+use super::registry::ServerIndex;
+use crate::{RequestId, Time};
+
+/// The load of a server by its last report, and own sends since.
+#[derive(Default)]
+pub struct ReportedLoad {
+    load: f64,
+    reported_at: Option<Time>,
+    sends_since: u32,
+}
+
+impl ReportedLoad {
+    /// A report that has just come.
+    pub fn new(load: f64, now: Time) -> Self {
+        ReportedLoad { load, reported_at: Some(now), sends_since: 0 }
+    }
+
+    /// Takes in that the server is sent an attempt.
+    pub fn record_send(&mut self) {
+        self.sends_since += 1;
+    }
+
+    /// Whether the server has reported at `time` or later.
+    pub fn is_reported_since(&self, time: Time) -> bool {
+        self.reported_at.is_some_and(|at| at >= time)
+    }
+
+    /// The reported load and what was sent since; zero without a report.
+    pub fn known(&self) -> f64 {
+        self.reported_at.map_or(0.0, |_| self.load + f64::from(self.sends_since))
+    }
+
+    /// The load to expect now: a report loses its weight over `decay_ms` milliseconds, and what is not known
+    /// is as in `mean_load`.
+    pub fn expected(&self, now: Time, decay_ms: f64, mean_load: f64) -> f64 {
+        let weight = self.reported_at.map_or(0.0, |at| (-now.since(at).as_ms() / decay_ms).exp());
+        weight * (self.load + f64::from(self.sends_since)) + (1.0 - weight) * mean_load
+    }
+}
+
+/// A request whose candidates are being polled for their load.
+pub struct LoadPoll {
+    pub request: RequestId,
+    pub candidates: Vec<ServerIndex>,
+    pub started_at: Time,
+    /// The choice waits no longer than this.
+    pub answer_by: Time,
+}
--- a/tests/bad_input.rs
+++ b/crates/balancer-core/tests/bad_input.rs
@@ -1,12 +1,12 @@
 //! Guards against decisions that absurd reports or a jumping clock would turn.
 mod common;
+use balancer_core::*;
 use common::*;
-use micasail::*;
 
 fn settings() -> Settings {
     Settings {
         classes: vec![class(Effect::Idempotent)],
-        report_fields: vec![ReportField::InFlight],
+        load_report_fields: vec![LoadReportField::InFlight],
         ..Settings::default()
     }
 }
--- a/tests/blind.rs
+++ b/crates/balancer-core/tests/blind.rs
@@ -2,13 +2,13 @@
 
 mod common;
 
+use balancer_core::*;
 use common::{class, fleet, refused, Rig};
-use micasail::*;
 
 const AIM_MS: f64 = 200.0;
 
 fn settings() -> Settings {
-    Settings { balancers: 1000, classes: vec![class(Effect::Idempotent)], ..Settings::default() }
+    Settings { balancer_count: 1000, classes: vec![class(Effect::Idempotent)], ..Settings::default() }
 }
 
 /// One request after another, each answered in `ms` by the servers that `works`; how often each was sent to.
@@ -36,8 +36,8 @@
 /// A fair coin sent machines of half the size as much as the others, and they jammed first.
 #[test]
 fn load_goes_by_listed_size() {
-    let mut rig = Rig::new(Settings { weights: Weights::Size, ..settings() }, 1);
-    let sized = |l: Listed| Listed { weight: if l.server.0 < 10 { 3.0 } else { 1.0 }, ..l };
+    let mut rig = Rig::new(Settings { endpoint_weights: EndpointWeights::Size, ..settings() }, 1);
+    let sized = |l: Endpoint| Endpoint { weight: if l.server.0 < 10 { 3.0 } else { 1.0 }, ..l };
     rig.list(fleet(20, 1, 1).into_iter().map(sized).collect());
     let sent = serve(&mut rig, 20, 3000, 20.0, all_well);
     let (large, small) = (sent[..10].iter().sum::<u32>(), sent[10..].iter().sum::<u32>());
@@ -45,11 +45,13 @@
     assert!((2.3..3.7).contains(&ratio), "large machines were sent {ratio:.2} times as much");
 }
 
-/// Machines of one listed size and different speed: the kind's answers tell them apart before single servers can.
+/// Machines of one listed size and different speed: the kind's answers tell them apart before single servers
+/// can.
 #[test]
 fn load_goes_by_the_pace_of_a_kind() {
     let mut rig = Rig::new(settings(), 2);
-    let lines = fleet(100, 1, 1).into_iter().map(|l| Listed { kind: KindId(l.server.0 % 2), ..l });
+    let lines =
+        fleet(100, 1, 1).into_iter().map(|l| Endpoint { machine_kind: MachineKindId(l.server.0 % 2), ..l });
     rig.list(lines.collect());
     let mut sent = [0, 0];
     for _ in 0..600 {
@@ -64,8 +66,8 @@
     assert!(sent[1] > 5, "the slow kind is not shut out: {sent:?}");
 }
 
-/// One request after another, and how many met a connection that was kept; the most that were kept at a time, and
-/// how many servers were used.
+/// One request after another, and how many met a connection that was kept; the most that were kept at a time,
+/// and how many servers were used.
 fn reused(rig: &mut Rig, count: u32) -> (u32, usize, usize) {
     let (mut kept, mut used) = (std::collections::BTreeSet::new(), std::collections::BTreeSet::new());
     let (mut reused, mut most) = (0, 0);
@@ -100,9 +102,9 @@
 /// Nearly every request opened a connection, and the handshakes of all balancers jammed the servers.
 #[test]
 fn a_kept_connection_is_used_by_most_requests_where_a_new_one_is_priced() {
-    let mut prices = Settings::default().prices;
-    prices.handshake = 0.08;
-    let mut rig = Rig::new(Settings { prices, ..settings() }, 7);
+    let mut costs = Settings::default().costs;
+    costs.handshake = 0.08;
+    let mut rig = Rig::new(Settings { costs, ..settings() }, 7);
     rig.list(fleet(100, 1, 1));
     let (reused, _, used) = reused(&mut rig, 500);
     assert!((300..450).contains(&reused), "{reused} of 500 met a kept connection");
@@ -145,8 +147,8 @@
     assert!(sent > 90, "{sent} of 100 sent");
 }
 
-/// Full servers are the first sign of a jam, seconds before answers are late; heeded only where one request met
-/// two of them, it came too late to keep the servers quick.
+/// Full servers are the first sign of a jam, seconds before answers are late; heeded only where one request
+/// met two of them, it came too late to keep the servers quick.
 #[test]
 fn a_fleet_that_turns_much_away_is_let_less_in() {
     let mut rig = Rig::new(settings(), 8);
@@ -164,8 +166,9 @@
     assert!((5..60).contains(&sent), "{sent} of 100 sent");
 }
 
-/// A server that takes half the aim holds several requests for each core and is about to slow down for long; heeded
-/// only from the whole aim on, the level came to rest where slowed servers are never idle enough to recover.
+/// A server that takes half the aim holds several requests for each core and is about to slow down for long;
+/// heeded only from the whole aim on, the level came to rest where slowed servers are never idle enough to
+/// recover.
 #[test]
 fn answers_over_half_their_aim_are_signs_of_a_jam() {
     let mut rig = Rig::new(settings(), 14);
@@ -187,8 +190,9 @@
     assert!(sent < 70, "{sent} of 100 sent while as many wait for over half the aim");
 }
 
-/// The servers that were left of a fleet were sent all that it had borne, until their answers told of the jam; by then
-/// they were slow for long. What comes back, as a whole or from a list that was empty, is let in again.
+/// The servers that were left of a fleet were sent all that it had borne, until their answers told of the
+/// jam; by then they were slow for long. What comes back, as a whole or from a list that was empty, is let in
+/// again.
 #[test]
 fn a_fleet_that_shrinks_is_let_less_in_at_once() {
     let mut rig = Rig::new(settings(), 17);
@@ -207,26 +211,27 @@
 /// Each of many balancers lost a request to each silent server; now a few bytes tell the others.
 #[test]
 fn hearsay_is_told_heeded_and_forgotten() {
-    let settings = Settings { peers: true, ..settings() };
+    let settings = Settings { allows_gossip: true, ..settings() };
     let mut teller = Rig::new(settings.clone(), 6);
     teller.list(fleet(10, 1, 1));
     let (id, to) = teller.ask(0);
     teller.wait(Span::from_ms(790.0));
     let told = teller.answer(id, 0, Outcome::TimedOut, 790.0).to_vec();
     let tell = |a: &Action| match a {
-        Action::Tell { payload, .. } => Some(payload.clone()),
+        Action::Gossip { payload, .. } => Some(payload.clone()),
         _ => None,
     };
     let all: Vec<_> = told.iter().filter_map(tell).collect();
     assert!(!all.is_empty() && all.len() <= 128, "{} peers told", all.len());
     let server = to.expect("sent").0 as usize;
 
-    // A good answer of its own clears the doubt, so each of many fresh balancers shows its first few picks only.
+    // A good answer of its own clears the doubt, so each of many fresh balancers shows its first few picks
+    // only.
     let first_picks = |wait_ms: f64| -> u32 {
         let picks = (0..60).map(|seed| {
             let mut rig = Rig::new(settings.clone(), seed);
             rig.list(fleet(10, 1, 1));
-            rig.tell(Event::PeerMessage { from: PeerId(1), payload: all[0].clone() });
+            rig.tell(Event::Gossip { from: PeerId(1), payload: all[0].clone() });
             rig.wait(Span::from_ms(wait_ms));
             serve(&mut rig, 10, 3, 20.0, all_well)[server]
         });
@@ -239,12 +244,12 @@
 
 #[test]
 fn a_peers_nonsense_changes_nothing() {
-    let settings = Settings { peers: true, ..settings() };
+    let settings = Settings { allows_gossip: true, ..settings() };
     let (mut plain, mut told) = (Rig::new(settings.clone(), 8), Rig::new(settings, 8));
     plain.list(fleet(10, 1, 1));
     told.list(fleet(10, 1, 1));
     for payload in [vec![], vec![1], vec![0; 300], 77_u32.to_be_bytes().to_vec()] {
-        told.tell(Event::PeerMessage { from: PeerId(9), payload });
+        told.tell(Event::Gossip { from: PeerId(9), payload });
     }
     assert_eq!(serve(&mut plain, 10, 50, 20.0, all_well), serve(&mut told, 10, 50, 20.0, all_well));
 }
@@ -262,16 +267,16 @@
 
 fn asking() -> Settings {
     Settings {
-        probes: true,
-        report_source: ReportSource::Probes,
-        report_fields: vec![ReportField::Utilisation, ReportField::InFlight],
+        allows_health_checks: true,
+        load_report_source: LoadReportSource::HealthChecks,
+        load_report_fields: vec![LoadReportField::Utilisation, LoadReportField::InFlight],
         ..settings()
     }
 }
 
 fn probed(rig: &Rig) -> Vec<ServerId> {
     let server = |a: &Action| match a {
-        Action::Probe { server } => Some(*server),
+        Action::CheckHealth { server } => Some(*server),
         _ => None,
     };
     rig.actions.iter().filter_map(server).collect()
@@ -280,7 +285,8 @@
 fn report(rig: &mut Rig, server: ServerId, held: f64) -> Option<ServerId> {
     let report = Some(vec![0.5, held]);
     let elapsed = Span::from_ms(1.0);
-    let actions = rig.tell(Event::Probed { server, outcome: Outcome::Success, elapsed, report });
+    let actions =
+        rig.tell(Event::HealthChecked { server, outcome: Outcome::Success, elapsed, load_report: report });
     actions.iter().find_map(|a| match a {
         Action::Send { server, .. } => Some(*server),
         _ => None,
@@ -321,12 +327,12 @@
 
 #[test]
 fn dear_or_useless_probes_are_not_sent() {
-    let dear = Prices { probe: 0.01, ..Prices::default() };
+    let dear = Costs { health_check: 0.01, ..Costs::default() };
     for settings in [
-        Settings { prices: dear, ..asking() },
-        Settings { report_fields: vec![ReportField::Utilisation], ..asking() },
-        Settings { probes: false, ..asking() },
-        Settings { balancers: 10, ..asking() },
+        Settings { costs: dear, ..asking() },
+        Settings { load_report_fields: vec![LoadReportField::Utilisation], ..asking() },
+        Settings { allows_health_checks: false, ..asking() },
+        Settings { balancer_count: 10, ..asking() },
     ] {
         let mut rig = Rig::new(settings, 12);
         rig.list(fleet(20, 1, 1));
@@ -341,7 +347,7 @@
     for settings in [settings(), asking()] {
         let mut rig = Rig::new(settings, 13);
         let mut lines = fleet(10, 1, 1);
-        lines[9].started = Some(rig.now);
+        lines[9].started_at = Some(rig.now);
         rig.list(lines);
         let (mut cold, mut all) = (0, 0);
         for _ in 0..400 {
@@ -359,17 +365,17 @@
     }
 }
 
-/// A cold server that had passed to be remembered had to pass again at each pick from the memory: it got the square of
-/// its part, while the warm ones that were left of a fleet jammed.
+/// A cold server that had passed to be remembered had to pass again at each pick from the memory: it got the
+/// square of its part, while the warm ones that were left of a fleet jammed.
 #[test]
 fn a_cold_server_gets_the_part_that_it_can_bear() {
     const COLD: f64 = 0.25;
-    let prices = Prices { handshake: 0.08, ..Settings::default().prices };
-    let warm_after = Span::from_ms(1e9);
-    let mut rig = Rig::new(Settings { cold_share: COLD, warm_after, prices, ..settings() }, 16);
+    let costs = Costs { handshake: 0.08, ..Settings::default().costs };
+    let warm_up_time = Span::from_ms(1e9);
+    let mut rig = Rig::new(Settings { initial_capacity: COLD, warm_up_time, costs, ..settings() }, 16);
     let mut lines = fleet(40, 1, 1);
     let start = rig.now;
-    lines[20..].iter_mut().for_each(|l| l.started = Some(start));
+    lines[20..].iter_mut().for_each(|l| l.started_at = Some(start));
     rig.list(lines);
     let sent = serve(&mut rig, 40, 4000, 20.0, all_well);
     let part = f64::from(sent[20..].iter().sum::<u32>()) / f64::from(sent[..20].iter().sum::<u32>());
@@ -384,30 +390,37 @@
 fn a_server_that_starts_anew_must_pass_again() {
     let mut cold = 0;
     for seed in 0..60 {
-        let mut rig = Rig::new(Settings { cold_share: 0.1, ..settings() }, seed);
+        let mut rig = Rig::new(Settings { initial_capacity: 0.1, ..settings() }, seed);
         rig.list(fleet(10, 1, 1));
         serve(&mut rig, 10, 50, 20.0, all_well);
-        let started = Some(rig.now);
+        let started_at = Some(rig.now);
         let lines = fleet(10, 1, 1).into_iter().filter(|l| l.server.0 % 2 == 1);
-        rig.tell(Event::List(ListUpdate::Changes(lines.map(|l| Listed { started, ..l }).collect())));
+        rig.tell(Event::Endpoints(EndpointUpdate::Changes(
+            lines.map(|l| Endpoint { started_at, ..l }).collect(),
+        )));
         cold += serve(&mut rig, 10, 3, 20.0, all_well).iter().skip(1).step_by(2).sum::<u32>();
     }
     assert!((4..36).contains(&cold), "{cold} of 180 to the half that has just started");
 }
 
-/// Cold servers were held to what they surely bear while they answered sooner than the warm ones that bore the rest.
-/// They get more then, up to half of what would push them over, and no more than before where they answer later.
+/// Cold servers were held to what they surely bear while they answered sooner than the warm ones that bore
+/// the rest. They get more then, up to half of what would push them over, and no more than before where they
+/// answer later.
 #[test]
 fn cold_servers_that_answer_sooner_than_warm_ones_get_more() {
     const COLD: f64 = 0.25;
     let mut parts = Vec::new();
     for (warm_ms, cold_ms) in [(60.0, 40.0), (40.0, 60.0)] {
-        let rules =
-            Settings { cold_share: COLD, warm_after: Span::from_ms(1e9), overload_factor: 3.0, ..settings() };
+        let rules = Settings {
+            initial_capacity: COLD,
+            warm_up_time: Span::from_ms(1e9),
+            overload_factor: 3.0,
+            ..settings()
+        };
         let mut rig = Rig::new(rules, 17);
         let mut lines = fleet(40, 1, 1);
         let start = rig.now;
-        lines[20..].iter_mut().for_each(|l| l.started = Some(start));
+        lines[20..].iter_mut().for_each(|l| l.started_at = Some(start));
         rig.list(lines);
         let mut sent = [0, 0];
         for _ in 0..4000 {
@@ -433,8 +446,9 @@
     );
 }
 
-/// A server that a neighbour slows holds no more of the balancer's own requests than others do, so it stayed remembered
-/// and was sent more than its share. Where all are slow it stays, or every request would open a connection.
+/// A server that a neighbour slows holds no more of the balancer's own requests than others do, so it stayed
+/// remembered and was sent more than its share. Where all are slow it stays, or every request would open a
+/// connection.
 #[test]
 fn a_server_that_is_slow_next_to_the_others_is_not_remembered() {
     for (others, kept) in [(20.0, false), (120.0, true)] {
@@ -461,13 +475,14 @@
     }
 }
 
-/// The admission probability was the same for all classes, so in a jam as much was refused of what is worth most.
+/// The admission probability was the same for all classes, so in a jam as much was refused of what is worth
+/// most.
 #[test]
 fn the_class_that_costs_the_goal_least_gives_way_first() {
-    let worth = |worth| Class { worth, ..class(Effect::Idempotent) };
-    let goal = Goal { whole: 0.8, worst_window: 0.0, worst_class: 0.2, worst_tenant: 0.0 };
-    for (worths, first) in [([10.0, 30.0], true), ([10.0, 10.0], false)] {
-        let classes = worths.map(worth).to_vec();
+    let weighted = |priority_weight| RequestClass { priority_weight, ..class(Effect::Idempotent) };
+    let goal = GoalWeights { overall: 0.8, worst_window: 0.0, worst_class: 0.2, worst_tenant: 0.0 };
+    for (weights, first) in [([10.0, 30.0], true), ([10.0, 10.0], false)] {
+        let classes = weights.map(weighted).to_vec();
         let mut rig = Rig::new(Settings { classes, goal: goal.clone(), ..settings() }, 19);
         rig.list(fleet(50, 1, 1));
         // Two answers of seven are slow: the jam is neither over nor complete.
--- a/tests/cold_server_not_pushed_over.rs
+++ b/crates/balancer-core/tests/cold_server_not_pushed_over.rs
@@ -1,16 +1,16 @@
 //! Guards rule four: a server that has just started is sent its share only.
 mod common;
+use balancer_core::*;
 use common::*;
-use micasail::*;
 
 fn settings() -> Settings {
     Settings {
         classes: vec![class(Effect::Idempotent)],
-        cold_share: 0.2,
-        warm_after: Span::from_ms(10_000.0),
+        initial_capacity: 0.2,
+        warm_up_time: Span::from_ms(10_000.0),
         overload_factor: 2.5,
-        fall_after: Span::from_ms(1500.0),
-        balancers: 3,
+        overload_window: Span::from_ms(1500.0),
+        balancer_count: 3,
         ..Settings::default()
     }
 }
@@ -45,7 +45,7 @@
 fn a_cold_server_gets_its_share_of_a_warm_ones_load() {
     let mut rig = Rig::new(settings(), 4);
     let mut lines = fleet(6, 1, 1);
-    lines[5].started = Some(rig.now);
+    lines[5].started_at = Some(rig.now);
     rig.list(lines);
     let (cold, all) = load(&mut rig, 200.0, 1500.0, ServerId(5));
     let warm = f64::from(all - cold) / 5.0;
@@ -61,11 +61,11 @@
 fn a_second_restart_while_warming_starts_over() {
     let mut rig = Rig::new(settings(), 4);
     let mut lines = fleet(6, 1, 1);
-    lines[5].started = Some(rig.now);
+    lines[5].started_at = Some(rig.now);
     rig.list(lines.clone());
     load(&mut rig, 200.0, 8000.0, ServerId(5));
-    lines[5].started = Some(rig.now);
-    rig.tell(Event::List(ListUpdate::Changes(vec![lines[5].clone()])));
+    lines[5].started_at = Some(rig.now);
+    rig.tell(Event::Endpoints(EndpointUpdate::Changes(vec![lines[5].clone()])));
     let (cold, all) = load(&mut rig, 200.0, 1000.0, ServerId(5));
     assert!(f64::from(cold) <= 0.5 * f64::from(all - cold) / 5.0, "{cold} of {all}");
     rig.assert_rules();
@@ -76,7 +76,7 @@
     for n in [1, 4] {
         let mut rig = Rig::new(settings(), 4);
         let start = rig.now;
-        rig.list(fleet(n, 1, 1).into_iter().map(|l| Listed { started: Some(start), ..l }).collect());
+        rig.list(fleet(n, 1, 1).into_iter().map(|l| Endpoint { started_at: Some(start), ..l }).collect());
         let (_, all) = load(&mut rig, 20.0, 1000.0, ServerId(0));
         assert!(all > 10, "{all} sent");
         rig.assert_rules();
@@ -88,7 +88,7 @@
 fn an_all_cold_fleet_is_paced_by_its_answers() {
     let mut rig = Rig::new(settings(), 4);
     let start = rig.now;
-    rig.list(fleet(4, 1, 1).into_iter().map(|l| Listed { started: Some(start), ..l }).collect());
+    rig.list(fleet(4, 1, 1).into_iter().map(|l| Endpoint { started_at: Some(start), ..l }).collect());
     let mut sent = 0;
     for _ in 0..200 {
         sent += u32::from(rig.ask(0).1.is_some());
@@ -103,7 +103,7 @@
     let mut balancer = Balancer::new(settings, 1).unwrap();
     let mut actions = Vec::new();
     balancer.start(Time(0), &mut actions);
-    balancer.handle(Time(1), Event::List(ListUpdate::Complete(fleet(2, 1, 1))), &mut actions);
+    balancer.handle(Time(1), Event::Endpoints(EndpointUpdate::Complete(fleet(2, 1, 1))), &mut actions);
     for i in 0..4 {
         let request = Request::new(RequestId(i), ClassId(0), Span::from_ms(800.0));
         balancer.handle(Time(2), Event::Request(request), &mut actions);
--- a/tests/common/mod.rs
+++ b/crates/balancer-core/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! What the tests share: an observer that holds a balancer to the four rules, and a small rig around one.
 #![allow(dead_code, missing_docs)]
 
-use micasail::*;
+use balancer_core::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Time past the client's deadline in which a final answer still counts.
@@ -30,7 +30,7 @@
 pub struct Observer {
     settings: Settings,
     requests: BTreeMap<RequestId, Seen>,
-    servers: BTreeMap<ServerId, Listed>,
+    servers: BTreeMap<ServerId, Endpoint>,
     leaving: BTreeMap<ServerId, Time>,
     sends: VecDeque<(Time, ServerId, f64)>,
     warm: BTreeSet<ServerId>,
@@ -53,7 +53,7 @@
     }
 
     fn fault(&mut self, now: Time, text: String) {
-        self.faults.push(format!("{:.3} ms: {text}", now.ms()));
+        self.faults.push(format!("{:.3} ms: {text}", now.as_ms()));
     }
 
     pub fn event(&mut self, now: Time, event: &Event) {
@@ -61,7 +61,7 @@
             Event::Request(r) => {
                 let seen = Seen {
                     class: r.class.0,
-                    work: r.cost_hint.map_or(1.0, |h| h.ms() / 40.0),
+                    work: r.cost_hint.map_or(1.0, |h| h.as_ms() / 40.0),
                     deadline: now + r.time_left,
                     tries: Vec::new(),
                     over: false,
@@ -69,7 +69,7 @@
                 };
                 self.requests.entry(r.id).or_insert(seen);
             }
-            Event::Outcome { request, attempt, outcome, closed, .. } => {
+            Event::AttemptEnded { request, attempt, outcome, is_request_finished: closed, .. } => {
                 if let Some(seen) = self.requests.get_mut(request) {
                     if let Some(attempt) = seen.tries.get_mut(attempt.0 as usize) {
                         attempt.ended.get_or_insert(*outcome);
@@ -82,16 +82,16 @@
                     seen.bound = true;
                 }
             }
-            Event::ClientGone { request } => {
+            Event::ClientDisconnected { request } => {
                 if let Some(seen) = self.requests.get_mut(request) {
                     seen.over = true;
                 }
             }
-            Event::List(update) => {
+            Event::Endpoints(update) => {
                 let (lines, whole) = match update {
-                    ListUpdate::Changes(lines) => (lines, false),
-                    ListUpdate::Complete(lines) | ListUpdate::Saved(lines) => (lines, true),
-                    ListUpdate::Failed => return,
+                    EndpointUpdate::Changes(lines) => (lines, false),
+                    EndpointUpdate::Complete(lines) | EndpointUpdate::Cached(lines) => (lines, true),
+                    EndpointUpdate::Failed => return,
                 };
                 let named: BTreeSet<ServerId> = lines.iter().map(|l| l.server).collect();
                 if whole {
@@ -101,13 +101,13 @@
                 }
                 for line in lines {
                     let before = self.servers.insert(line.server, line.clone());
-                    if before.is_some_and(|b| b.started != line.started) {
+                    if before.is_some_and(|b| b.started_at != line.started_at) {
                         // A new process: what the old one was sent weighs nothing on it.
                         self.sends.retain(|(_, s, _)| *s != line.server);
                     }
                 }
                 for server in named {
-                    if self.servers[&server].status == Status::Serving {
+                    if self.servers[&server].status == EndpointStatus::Serving {
                         self.leaving.remove(&server);
                     } else {
                         self.leaving.entry(server).or_insert(now);
@@ -120,24 +120,24 @@
 
     /// The servers a request that may have run must stay with; `None` if it may not go out at all.
     fn place_for(&self, seen: &Seen, now: Time) -> Option<(Option<ZoneId>, Option<CellId>)> {
-        let ran = seen.tries.iter().find(|t| t.ended.is_none_or(|o| !o.never_ran()));
+        let ran = seen.tries.iter().find(|t| t.ended.is_none_or(|o| !o.proves_not_run()));
         let Some(ran) = ran else { return Some((None, None)) };
         match self.settings.classes[seen.class].effect {
             Effect::Idempotent => Some((None, None)),
             Effect::AtMostOnce => None,
             Effect::Deduplicated { window, .. } if now.since(ran.at) > window => None,
-            Effect::Deduplicated { group: Group::All, .. } => Some((None, None)),
-            Effect::Deduplicated { group: Group::Zone, .. } => Some((Some(ran.zone), None)),
-            Effect::Deduplicated { group: Group::Cell, .. } => Some((None, Some(ran.cell))),
+            Effect::Deduplicated { scope: DedupScope::Fleet, .. } => Some((None, None)),
+            Effect::Deduplicated { scope: DedupScope::Zone, .. } => Some((Some(ran.zone), None)),
+            Effect::Deduplicated { scope: DedupScope::Cell, .. } => Some((None, Some(ran.cell))),
         }
     }
 
     fn may_refuse(&self, seen: &Seen) -> bool {
-        let ran = seen.tries.iter().any(|t| t.ended.is_none_or(|o| !o.never_ran()));
+        let ran = seen.tries.iter().any(|t| t.ended.is_none_or(|o| !o.proves_not_run()));
         match self.settings.classes[seen.class].effect {
             Effect::Idempotent => true,
             Effect::AtMostOnce => !ran,
-            Effect::Deduplicated { group, .. } => !ran || group == Group::All,
+            Effect::Deduplicated { scope: group, .. } => !ran || group == DedupScope::Fleet,
         }
     }
 
@@ -162,7 +162,7 @@
                 if seen.tries.len() >= self.settings.max_attempts as usize {
                     wrong.push("sent beyond the attempts allowed");
                 }
-                if out && !self.settings.second_copies {
+                if out && !self.settings.allows_hedging {
                     wrong.push("two attempts at once");
                 }
                 if now > seen.deadline || *timeout_at > seen.deadline {
@@ -187,7 +187,7 @@
                 self.sends.push_back((now, *server, work));
                 self.cold(now, *server);
             }
-            Action::Refuse { request, .. } => {
+            Action::Reject { request, .. } => {
                 if self.requests.get(request).is_some_and(|seen| !self.may_refuse(seen)) {
                     self.fault(now, format!("{request:?}: refused though it may have run"));
                 }
@@ -215,21 +215,21 @@
     /// Holds this balancer's sends to a cold server against what it sends to the warm ones: its share, times
     /// the site's factor, with room for a few requests of chance.
     fn cold(&mut self, now: Time, server: ServerId) {
-        let window = self.settings.fall_after;
+        let window = self.settings.overload_window;
         while self.sends.front().is_some_and(|(at, ..)| *at + window < now) {
             self.sends.pop_front();
         }
-        let warmth = |line: &Listed| {
-            line.started.map_or(1.0, |s| {
-                let grown = (now.since(s).ms() / self.settings.warm_after.ms()).min(1.0);
-                self.settings.cold_share + (1.0 - self.settings.cold_share) * grown
+        let warmth = |line: &Endpoint| {
+            line.started_at.map_or(1.0, |s| {
+                let grown = (now.since(s).as_ms() / self.settings.warm_up_time.as_ms()).min(1.0);
+                self.settings.initial_capacity + (1.0 - self.settings.initial_capacity) * grown
             })
         };
         let own = warmth(&self.servers[&server]);
         let warm: BTreeSet<ServerId> = self
             .servers
             .values()
-            .filter(|l| l.status == Status::Serving && warmth(l) >= 1.0)
+            .filter(|l| l.status == EndpointStatus::Serving && warmth(l) >= 1.0)
             .map(|l| l.server)
             .collect();
         if warm != self.warm {
@@ -313,14 +313,14 @@
         while let Some(&(at, timer)) = self.timers.iter().next().filter(|(at, _)| *at <= end) {
             self.timers.remove(&(at, timer));
             self.now = self.now.max(at);
-            all.extend_from_slice(self.tell(Event::Timer(timer)));
+            all.extend_from_slice(self.tell(Event::TimerDue(timer)));
         }
         self.now = end;
         all
     }
 
-    pub fn list(&mut self, lines: Vec<Listed>) {
-        self.tell(Event::List(ListUpdate::Complete(lines)));
+    pub fn list(&mut self, lines: Vec<Endpoint>) {
+        self.tell(Event::Endpoints(EndpointUpdate::Complete(lines)));
     }
 
     /// A new request of a class; the server it was sent to, if it was.
@@ -359,13 +359,13 @@
         ms: f64,
         report: Option<Vec<f64>>,
     ) -> &[Action] {
-        self.tell(Event::Outcome {
+        self.tell(Event::AttemptEnded {
             request,
-            attempt: AttemptNo(attempt),
+            attempt: AttemptNumber(attempt),
             outcome,
             elapsed: Span::from_ms(ms),
-            report,
-            closed: outcome == Outcome::Success,
+            load_report: report,
+            is_request_finished: outcome == Outcome::Success,
         })
     }
 
@@ -384,7 +384,7 @@
 }
 
 pub fn refused(actions: &[Action], id: RequestId) -> bool {
-    actions.iter().any(|a| matches!(a, Action::Refuse { request, .. } if *request == id))
+    actions.iter().any(|a| matches!(a, Action::Reject { request, .. } if *request == id))
 }
 
 pub fn failed(actions: &[Action], id: RequestId) -> bool {
@@ -392,16 +392,25 @@
 }
 
 /// `n` warm servers, server `i` in zone `i % zones` and cell `i % cells`.
-pub fn fleet(n: u32, zones: u32, cells: u32) -> Vec<Listed> {
+pub fn fleet(n: u32, zones: u32, cells: u32) -> Vec<Endpoint> {
     (0..n)
-        .map(|i| Listed { zone: ZoneId(i % zones), cell: CellId(i % cells), ..Listed::serving(ServerId(i)) })
+        .map(|i| Endpoint {
+            zone: ZoneId(i % zones),
+            cell: CellId(i % cells),
+            ..Endpoint::serving(ServerId(i))
+        })
         .collect()
 }
 
-pub fn class(effect: Effect) -> Class {
-    Class { effect, aim: Span::from_ms(200.0), deadline: Span::from_ms(800.0), ..Class::default() }
+pub fn class(effect: Effect) -> RequestClass {
+    RequestClass {
+        effect,
+        latency_objective: Span::from_ms(200.0),
+        deadline: Span::from_ms(800.0),
+        ..RequestClass::default()
+    }
 }
 
-pub fn keyed(group: Group, window_ms: f64) -> Effect {
-    Effect::Deduplicated { group, window: Span::from_ms(window_ms) }
+pub fn keyed(group: DedupScope, window_ms: f64) -> Effect {
+    Effect::Deduplicated { scope: group, window: Span::from_ms(window_ms) }
 }
--- a/tests/drains_kept.rs
+++ b/crates/balancer-core/tests/drains_kept.rs
@@ -1,13 +1,13 @@
 //! Guards rule three: nothing new goes to a server that drains or is gone.
 mod common;
+use balancer_core::*;
 use common::*;
-use micasail::*;
 
-fn drained(update: impl Fn(Vec<Listed>) -> ListUpdate) {
+fn drained(update: impl Fn(Vec<Endpoint>) -> EndpointUpdate) {
     let settings = Settings { classes: vec![class(Effect::Idempotent)], ..Settings::default() };
     let mut rig = Rig::new(settings, 2);
     rig.list(fleet(2, 1, 1));
-    rig.tell(Event::List(update(fleet(2, 1, 1))));
+    rig.tell(Event::Endpoints(update(fleet(2, 1, 1))));
     for _ in 0..50 {
         let (id, sent) = rig.ask(0);
         assert_eq!(sent, Some(ServerId(1)));
@@ -19,42 +19,42 @@
 
 #[test]
 fn draining_and_gone_by_change() {
-    for status in [Status::Draining, Status::Gone] {
-        drained(|lines| ListUpdate::Changes(vec![Listed { status, ..lines[0].clone() }]));
+    for status in [EndpointStatus::Draining, EndpointStatus::Removed] {
+        drained(|lines| EndpointUpdate::Changes(vec![Endpoint { status, ..lines[0].clone() }]));
     }
 }
 
 #[test]
 fn left_out_of_a_complete_list() {
-    drained(|lines| ListUpdate::Complete(lines[1..].to_vec()));
+    drained(|lines| EndpointUpdate::Complete(lines[1..].to_vec()));
 }
 
 #[test]
 fn the_last_of_two_lines_for_a_server_counts() {
     drained(|lines| {
-        let gone = Listed { status: Status::Draining, ..lines[0].clone() };
-        ListUpdate::Complete(vec![lines[0].clone(), lines[1].clone(), gone])
+        let gone = Endpoint { status: EndpointStatus::Draining, ..lines[0].clone() };
+        EndpointUpdate::Complete(vec![lines[0].clone(), lines[1].clone(), gone])
     });
 }
 
 #[test]
 fn a_failed_call_for_the_list_is_repeated_and_the_old_list_stands() {
     let settings = Settings {
-        discovery: Discovery::OnRequest,
+        discovery_mode: DiscoveryMode::OnRequest,
         classes: vec![class(Effect::Idempotent)],
         ..Settings::default()
     };
     let mut rig = Rig::new(settings, 2);
-    assert!(rig.actions.contains(&Action::Follow { active: true }), "followed from the start");
+    assert!(rig.actions.contains(&Action::WatchEndpoints), "followed from the start");
     rig.list(fleet(2, 1, 1));
     let mut asked = 0;
     for _ in 0..5 {
-        rig.tell(Event::List(ListUpdate::Failed));
+        rig.tell(Event::Endpoints(EndpointUpdate::Failed));
         let (id, sent) = rig.ask(0);
         assert!(sent.is_some());
         rig.answer(id, 0, Outcome::Success, 10.0);
         let actions = rig.wait(Span::from_ms(5000.0));
-        asked += actions.iter().filter(|a| **a == Action::Follow { active: true }).count();
+        asked += actions.iter().filter(|a| **a == Action::WatchEndpoints).count();
     }
     assert_eq!(asked, 5, "one more call after each failure, within half of what the site asks");
     rig.assert_rules();
--- a/tests/memory_does_not_grow.rs
+++ b/crates/balancer-core/tests/memory_does_not_grow.rs
@@ -1,7 +1,7 @@
 //! Guards against records that outlive their requests: memory must not grow with requests served.
 mod common;
+use balancer_core::*;
 use common::*;
-use micasail::*;
 
 /// Resident memory of this process in KiB; `None` where the system does not tell.
 fn resident() -> Option<u64> {
@@ -12,27 +12,27 @@
 #[test]
 fn many_requests_leave_nothing_behind() {
     let settings =
-        Settings { classes: vec![class(Effect::Idempotent)], warm_keys: true, ..Settings::default() };
+        Settings { classes: vec![class(Effect::Idempotent)], has_key_affinity: true, ..Settings::default() };
     let mut balancer = Balancer::new(settings, 1).unwrap();
     let mut actions = Vec::new();
     let mut now = Time::from_ms(1000.0);
     balancer.start(now, &mut actions);
-    balancer.handle(now, Event::List(ListUpdate::Complete(fleet(6, 2, 2))), &mut actions);
+    balancer.handle(now, Event::Endpoints(EndpointUpdate::Complete(fleet(6, 2, 2))), &mut actions);
     let mut serve = |from: u64, count: u64| {
         for id in from..from + count {
             now = now + Span::from_ms(5.0);
             actions.clear();
             let mut request = Request::new(RequestId(id), ClassId(0), Span::from_ms(800.0));
-            request.key = Some(KeyId(id));
+            request.routing_key = Some(RoutingKey(id));
             balancer.handle(now, Event::Request(request), &mut actions);
             assert!(actions.iter().any(|a| matches!(a, Action::Send { .. })), "request {id} was not sent");
-            let outcome = Event::Outcome {
+            let outcome = Event::AttemptEnded {
                 request: RequestId(id),
-                attempt: AttemptNo(0),
+                attempt: AttemptNumber(0),
                 outcome: Outcome::Success,
                 elapsed: Span::from_ms(20.0),
-                report: None,
-                closed: true,
+                load_report: None,
+                is_request_finished: true,
             };
             balancer.handle(now, outcome, &mut actions);
         }
--- a/tests/no_doubled_effect.rs
+++ b/crates/balancer-core/tests/no_doubled_effect.rs
@@ -1,7 +1,7 @@
 //! Guards rule two: an effect must not happen twice, and a refusal must not be told of what may have run.
 mod common;
+use balancer_core::*;
 use common::*;
-use micasail::*;
 
 const OUTCOMES: [Outcome; 7] = [
     Outcome::ServerError,
@@ -19,9 +19,9 @@
     let effects = [
         Effect::Idempotent,
         Effect::AtMostOnce,
-        keyed(Group::All, 100.0),
-        keyed(Group::Zone, 100.0),
-        keyed(Group::Cell, 100.0),
+        keyed(DedupScope::Fleet, 100.0),
+        keyed(DedupScope::Zone, 100.0),
+        keyed(DedupScope::Cell, 100.0),
     ];
     for copies in [false, true] {
         for effect in effects {
@@ -29,7 +29,7 @@
                 for ms in [5.0, 120.0] {
                     let settings = Settings {
                         classes: vec![class(effect)],
-                        second_copies: copies,
+                        allows_hedging: copies,
                         ..Settings::default()
                     };
                     let mut rig = Rig::new(settings, 3);
@@ -40,7 +40,7 @@
                     rig.answer(id, 0, outcome, ms);
                     let (next, actions) = (rig.sent_to(id), rig.actions.clone());
                     let case = format!("{effect:?} {outcome:?} after {ms} ms, copies {copies}");
-                    let proven = outcome.never_ran();
+                    let proven = outcome.proves_not_run();
                     let inside = ms < 100.0;
                     match effect {
                         Effect::Idempotent => assert!(next.is_some(), "{case}"),
@@ -48,16 +48,16 @@
                             assert_eq!(next.is_some(), proven, "{case}");
                             assert_eq!(failed(&actions, id), !proven, "{case}");
                         }
-                        Effect::Deduplicated { group, .. } => {
+                        Effect::Deduplicated { scope: group, .. } => {
                             assert_eq!(next.is_some(), proven || inside, "{case}");
                             let next = next.map_or(first, |s| s.0);
                             match group {
                                 _ if proven => {}
-                                Group::All => assert_eq!(refused(&actions, id), !inside, "{case}"),
-                                Group::Zone => assert_eq!(next % 3, first % 3, "{case}"),
-                                Group::Cell => assert_eq!(next % 4, first % 4, "{case}"),
+                                DedupScope::Fleet => assert_eq!(refused(&actions, id), !inside, "{case}"),
+                                DedupScope::Zone => assert_eq!(next % 3, first % 3, "{case}"),
+                                DedupScope::Cell => assert_eq!(next % 4, first % 4, "{case}"),
                             }
-                            if !proven && !inside && group != Group::All {
+                            if !proven && !inside && group != DedupScope::Fleet {
                                 assert!(failed(&actions, id), "{case}");
                             }
                         }
@@ -72,8 +72,11 @@
 /// The window and the group are those of the first attempt that may have run, not of the first or the last.
 #[test]
 fn the_group_is_that_of_the_first_attempt_that_may_have_run() {
-    let settings =
-        Settings { classes: vec![class(keyed(Group::Zone, 400.0))], max_attempts: 6, ..Settings::default() };
+    let settings = Settings {
+        classes: vec![class(keyed(DedupScope::Zone, 400.0))],
+        max_attempts: 6,
+        ..Settings::default()
+    };
     for seed in 0..40 {
         let mut rig = Rig::new(settings.clone(), seed);
         rig.list(fleet(9, 3, 3));
@@ -90,7 +93,7 @@
 /// A proven non-run after one that may have run does not lift the ban.
 #[test]
 fn a_later_proof_does_not_clear_an_earlier_attempt() {
-    let settings = Settings { classes: vec![class(keyed(Group::Cell, 5000.0))], ..Settings::default() };
+    let settings = Settings { classes: vec![class(keyed(DedupScope::Cell, 5000.0))], ..Settings::default() };
     let mut rig = Rig::new(settings, 9);
     rig.list(fleet(8, 2, 4));
     let (id, first) = rig.ask(0);
@@ -103,12 +106,13 @@
     rig.assert_rules();
 }
 
-/// An attempt may be written up to a connect's time after it is decided. A repeat that would then be past its window is
-/// not begun, and one that is begun carries the window's end, counted from the first attempt that may have run.
+/// An attempt may be written up to a connect's time after it is decided. A repeat that would then be past its
+/// window is not begun, and one that is begun carries the window's end, counted from the first attempt that
+/// may have run.
 #[test]
 fn a_repeat_carries_the_end_of_its_window() {
     let settings = Settings {
-        classes: vec![class(keyed(Group::All, 400.0))],
+        classes: vec![class(keyed(DedupScope::Fleet, 400.0))],
         connect_timeout: Span::from_ms(250.0),
         max_attempts: 6,
         ..Settings::default()
--- a/tests/observer_sees_breaches.rs
+++ b/crates/balancer-core/tests/observer_sees_breaches.rs
@@ -1,18 +1,18 @@
 //! Guards the other tests: the observer must object to a broken decision of each kind.
 mod common;
+use balancer_core::*;
 use common::*;
-use micasail::*;
 
 fn watch(effect: Effect) -> (Observer, Time) {
     let settings = Settings {
         classes: vec![class(effect)],
-        cold_share: 0.2,
-        warm_after: Span::from_ms(10_000.0),
+        initial_capacity: 0.2,
+        warm_up_time: Span::from_ms(10_000.0),
         ..Settings::default()
     };
     let now = Time::from_ms(1000.0);
     let mut observer = Observer::new(&settings);
-    observer.event(now, &Event::List(ListUpdate::Complete(fleet(4, 2, 4))));
+    observer.event(now, &Event::Endpoints(EndpointUpdate::Complete(fleet(4, 2, 4))));
     observer.event(now, &Event::Request(Request::new(RequestId(1), ClassId(0), Span::from_ms(800.0))));
     (observer, now)
 }
@@ -23,13 +23,13 @@
 }
 
 fn ended(outcome: Outcome, attempt: u32) -> Event {
-    Event::Outcome {
+    Event::AttemptEnded {
         request: RequestId(1),
-        attempt: AttemptNo(attempt),
+        attempt: AttemptNumber(attempt),
         outcome,
         elapsed: Span::from_ms(1.0),
-        report: None,
-        closed: false,
+        load_report: None,
+        is_request_finished: false,
     }
 }
 
@@ -41,7 +41,7 @@
 fn lost_late_double_and_posthumous() {
     let (mut o, now) = watch(Effect::Idempotent);
     assert_eq!(o.lost(now + Span::from_ms(900.0)), 1);
-    o.action(now, &Action::Refuse { request: RequestId(1), retry_after: None });
+    o.action(now, &Action::Reject { request: RequestId(1), retry_after: None });
     assert!(o.faults.is_empty());
     o.action(now, &send(0, now));
     objects(&o, "sent after its end");
@@ -60,10 +60,10 @@
     objects(&o, "two attempts at once");
     o.event(now, &ended(Outcome::ServerError, 0));
     objects(&o, "must not go out again");
-    o.action(now, &Action::Refuse { request: RequestId(1), retry_after: None });
+    o.action(now, &Action::Reject { request: RequestId(1), retry_after: None });
     objects(&o, "refused though it may have run");
 
-    let (mut o, now) = watch(keyed(Group::Zone, 100.0));
+    let (mut o, now) = watch(keyed(DedupScope::Zone, 100.0));
     o.action(now, &send(0, now));
     o.event(now, &ended(Outcome::TimedOut, 0));
     o.action(now, &send(2, now));
@@ -80,8 +80,8 @@
 #[test]
 fn drains_and_cold_servers() {
     let (mut o, now) = watch(Effect::Idempotent);
-    let line = Listed { status: Status::Draining, ..Listed::serving(ServerId(0)) };
-    o.event(now, &Event::List(ListUpdate::Changes(vec![line])));
+    let line = Endpoint { status: EndpointStatus::Draining, ..Endpoint::serving(ServerId(0)) };
+    o.event(now, &Event::Endpoints(EndpointUpdate::Changes(vec![line])));
     let later = now + Span::from_ms(1100.0);
     o.event(later, &Event::Request(Request::new(RequestId(2), ClassId(0), Span::from_ms(800.0))));
     let timeout_at = later + Span::from_ms(1.0);
@@ -89,8 +89,8 @@
     objects(&o, "draining or gone");
 
     let (mut o, now) = watch(Effect::Idempotent);
-    let line = Listed { started: Some(now), ..Listed::serving(ServerId(0)) };
-    o.event(now, &Event::List(ListUpdate::Changes(vec![line])));
+    let line = Endpoint { started_at: Some(now), ..Endpoint::serving(ServerId(0)) };
+    o.event(now, &Event::Endpoints(EndpointUpdate::Changes(vec![line])));
     let later = now + settings_window();
     for (id, now) in (2..13).map(|id| (id, if id == 2 { now } else { later })) {
         o.event(now, &Event::Request(Request::new(RequestId(id), ClassId(0), Span::from_ms(800.0))));
@@ -102,5 +102,5 @@
 
 /// A whole window: the observer judges only once the fleet has been as it is for so long.
 fn settings_window() -> Span {
-    Settings::default().fall_after
+    Settings::default().overload_window
 }
--- a/tests/one_final_answer.rs
+++ b/crates/balancer-core/tests/one_final_answer.rs
@@ -1,7 +1,7 @@
 //! Guards rule one: every accepted request ends once, in time, and nothing is sent for it afterwards.
 mod common;
+use balancer_core::*;
 use common::*;
-use micasail::*;
 
 fn plain() -> Settings {
     Settings { classes: vec![class(Effect::Idempotent), class(Effect::AtMostOnce)], ..Settings::default() }
@@ -61,14 +61,14 @@
     for _ in 0..2 {
         assert!(rig.answer(id, 0, Outcome::TimedOut, 20.0).is_empty());
         assert!(rig.answer(id, 9, Outcome::Success, 20.0).is_empty());
-        assert!(rig.tell(Event::ClientGone { request: id }).is_empty());
+        assert!(rig.tell(Event::ClientDisconnected { request: id }).is_empty());
         assert!(rig.answer(RequestId(999), 0, Outcome::ServerError, 1.0).is_empty());
-        assert!(rig.tell(Event::FirstByte { request: id, attempt: AttemptNo(0) }).is_empty());
-        let probe = Event::Probed {
+        assert!(rig.tell(Event::FirstByte { request: id, attempt: AttemptNumber(0) }).is_empty());
+        let probe = Event::HealthChecked {
             server: ServerId(99),
             outcome: Outcome::Success,
             elapsed: Span::ZERO,
-            report: Some(vec![1.0]),
+            load_report: Some(vec![1.0]),
         };
         assert!(rig.tell(probe).is_empty());
     }
@@ -82,7 +82,7 @@
     let mut rig = Rig::new(plain(), 1);
     rig.list(fleet(3, 1, 1));
     let (id, _) = rig.ask(0);
-    rig.tell(Event::ClientGone { request: id });
+    rig.tell(Event::ClientDisconnected { request: id });
     assert!(rig.answer(id, 0, Outcome::ServerError, 5.0).is_empty());
     rig.assert_rules();
 }
--- a/tests/overload.rs
+++ b/crates/balancer-core/tests/overload.rs
@@ -1,7 +1,7 @@
 //! Guards against collapse under overload: late answers, standing queues, retry storms, unfair refusals.
 mod common;
+use balancer_core::*;
 use common::*;
-use micasail::*;
 use std::collections::{BTreeMap, BTreeSet};
 
 fn settings() -> Settings {
@@ -40,7 +40,7 @@
     let mut refusals = 0;
     while rig.now.since(start) < Span::from_ms(200.0) {
         refusals +=
-            rig.wait(Span::from_ms(10.0)).iter().filter(|a| matches!(a, Action::Refuse { .. })).count();
+            rig.wait(Span::from_ms(10.0)).iter().filter(|a| matches!(a, Action::Reject { .. })).count();
         if refusals == held.len() {
             break;
         }
@@ -130,7 +130,7 @@
 #[test]
 fn limits_go_below_one_request_where_balancers_are_many() {
     let rate = |balancers| {
-        let mut rig = Rig::new(Settings { balancers, ..settings() }, 1);
+        let mut rig = Rig::new(Settings { balancer_count: balancers, ..settings() }, 1);
         rig.list(fleet(1, 1, 1));
         let mut sends = 0;
         for _ in 0..300 {
@@ -198,10 +198,10 @@
 
 #[test]
 fn under_pressure_the_class_worth_most_is_spared_and_none_is_starved() {
-    let worth = |worth| Class { worth, ..class(Effect::Idempotent) };
-    let goal = Goal { whole: 0.7, worst_window: 0.0, worst_class: 0.3, worst_tenant: 0.0 };
+    let weighted = |priority_weight| RequestClass { priority_weight, ..class(Effect::Idempotent) };
+    let goal = GoalWeights { overall: 0.7, worst_window: 0.0, worst_class: 0.3, worst_tenant: 0.0 };
     let settings =
-        Settings { classes: vec![worth(1.0), worth(3.0), worth(10.0)], goal, ..Settings::default() };
+        Settings { classes: vec![weighted(1.0), weighted(3.0), weighted(10.0)], goal, ..Settings::default() };
     let tally = pressed(settings, |i| {
         Request::new(RequestId(u64::from(i)), ClassId((i % 3) as usize), Span::from_ms(800.0))
     });
@@ -212,10 +212,10 @@
 
 #[test]
 fn a_flooding_tenant_pays_for_its_flood() {
-    let tenant = |fraction| Tenant { fraction, allowance_per_s: 100.0 };
+    let tenant = |fraction| Tenant { share: fraction, quota_per_s: 100.0 };
     let settings = Settings {
         tenants: vec![tenant(0.3), tenant(0.7)],
-        over_share_worth: 0.1,
+        over_share_value: 0.1,
         classes: vec![class(Effect::Idempotent)],
         ..Settings::default()
     };
@@ -231,7 +231,7 @@
 /// answers to leave a jam of the whole fleet.
 #[test]
 fn a_round_of_late_answers_from_the_whole_fleet_is_enough_to_send_far_less() {
-    let settings = Settings { balancers: 20, ..settings() };
+    let settings = Settings { balancer_count: 20, ..settings() };
     let mut rig = Rig::new(settings, 1);
     rig.list(fleet(24, 1, 1));
     let burst = |rig: &mut Rig| -> Vec<RequestId> {
@@ -260,7 +260,7 @@
 /// Rests once stood as they were set at the last answer: after a jam, up to 47 s without a request.
 #[test]
 fn a_late_answer_at_a_low_level_rests_no_server_once_the_level_is_back() {
-    let mut rig = Rig::new(Settings { balancers: 20, ..settings() }, 1);
+    let mut rig = Rig::new(Settings { balancer_count: 20, ..settings() }, 1);
     rig.list(fleet(2, 1, 1));
     for _ in 0..30 {
         rig.ask_and_answer(190.0);
--- a/tests/random_walk.rs
+++ b/crates/balancer-core/tests/random_walk.rs
@@ -1,29 +1,29 @@
 //! Guards the four rules on event orders that nobody thought of, and that equal events give equal actions.
 mod common;
+use balancer_core::*;
 use common::*;
-use micasail::*;
 use std::collections::BTreeMap;
 
 fn settings(pick: u64) -> Settings {
     Settings {
-        balancers: 1 + (pick % 7) as u32,
+        balancer_count: 1 + (pick % 7) as u32,
         classes: vec![
             class(Effect::Idempotent),
             class(Effect::AtMostOnce),
-            class(keyed(Group::All, 300.0)),
-            class(keyed(Group::Zone, 200.0)),
-            class(keyed(Group::Cell, 600.0)),
-            Class { late_worth: 0.3, stream: true, ..class(Effect::Idempotent) },
+            class(keyed(DedupScope::Fleet, 300.0)),
+            class(keyed(DedupScope::Zone, 200.0)),
+            class(keyed(DedupScope::Cell, 600.0)),
+            RequestClass { late_value: 0.3, is_streaming: true, ..class(Effect::Idempotent) },
         ],
-        second_copies: pick % 2 == 0,
-        cancel: pick % 3 != 0,
-        retry_after: pick % 5 == 0,
-        probes: pick % 4 == 0,
-        report_source: if pick % 3 == 0 { ReportSource::None } else { ReportSource::Answers },
-        report_fields: vec![ReportField::InFlight, ReportField::ServiceTime],
-        discovery: if pick % 2 == 1 { Discovery::OnRequest } else { Discovery::Pushed },
-        cold_share: 0.2,
-        warm_after: Span::from_ms(4000.0),
+        allows_hedging: pick % 2 == 0,
+        allows_cancel: pick % 3 != 0,
+        sends_retry_after: pick % 5 == 0,
+        allows_health_checks: pick % 4 == 0,
+        load_report_source: if pick % 3 == 0 { LoadReportSource::None } else { LoadReportSource::Responses },
+        load_report_fields: vec![LoadReportField::InFlight, LoadReportField::ServiceTime],
+        discovery_mode: if pick % 2 == 1 { DiscoveryMode::OnRequest } else { DiscoveryMode::Pushed },
+        initial_capacity: 0.2,
+        warm_up_time: Span::from_ms(4000.0),
         ..Settings::default()
     }
 }
@@ -46,7 +46,7 @@
     let mut out: Vec<Out> = Vec::new();
     let mut attempts: BTreeMap<RequestId, u32> = BTreeMap::new();
     let mut said = Vec::new();
-    rig.tell(Event::List(ListUpdate::Saved(lines.clone())));
+    rig.tell(Event::Endpoints(EndpointUpdate::Cached(lines.clone())));
     for step in 0..steps {
         let mut actions = Vec::new();
         match rng.u32(0..100) {
@@ -54,7 +54,7 @@
                 let class = rng.usize(0..classes.len());
                 let left = classes[class].deadline * (rng.f64() * 1.2).min(1.0);
                 let mut request = Request::new(RequestId(u64::from(step)), ClassId(class), left);
-                request.key = rng.bool().then(|| KeyId(rng.u64(0..5)));
+                request.routing_key = rng.bool().then(|| RoutingKey(rng.u64(0..5)));
                 request.cost_hint = rng.bool().then(|| Span::from_ms(rng.f64() * 80.0));
                 actions.extend_from_slice(rig.tell(Event::Request(request)));
             }
@@ -72,39 +72,43 @@
                 let report =
                     rng.bool().then(|| vec![rng.f64() * 9.0, [f64::NAN, -4.0, 30.0][rng.usize(0..3)]]);
                 let closed = outcome == Outcome::Success || o.streaming;
-                actions.extend_from_slice(rig.tell(Event::Outcome {
+                actions.extend_from_slice(rig.tell(Event::AttemptEnded {
                     request: o.request,
-                    attempt: AttemptNo(o.attempt),
+                    attempt: AttemptNumber(o.attempt),
                     outcome,
                     elapsed: rig.now.since(o.sent),
-                    report,
-                    closed,
+                    load_report: report,
+                    is_request_finished: closed,
                 }));
             }
             80..=83 if !out.is_empty() => {
                 let i = rng.usize(0..out.len());
                 let o = &mut out[i];
                 o.streaming = true;
-                let event = Event::FirstByte { request: o.request, attempt: AttemptNo(o.attempt) };
+                let event = Event::FirstByte { request: o.request, attempt: AttemptNumber(o.attempt) };
                 actions.extend_from_slice(rig.tell(event));
             }
             84..=86 => {
                 let request = RequestId(u64::from(rng.u32(0..step + 1)));
-                actions.extend_from_slice(rig.tell(Event::ClientGone { request }));
+                actions.extend_from_slice(rig.tell(Event::ClientDisconnected { request }));
             }
             87..=90 => {
                 let i = rng.usize(0..lines.len());
-                lines[i].status =
-                    [Status::Serving, Status::Serving, Status::Draining, Status::Gone][rng.usize(0..4)];
-                if rng.bool() && lines[i].status == Status::Serving {
-                    lines[i].started = Some(rig.now);
+                lines[i].status = [
+                    EndpointStatus::Serving,
+                    EndpointStatus::Serving,
+                    EndpointStatus::Draining,
+                    EndpointStatus::Removed,
+                ][rng.usize(0..4)];
+                if rng.bool() && lines[i].status == EndpointStatus::Serving {
+                    lines[i].started_at = Some(rig.now);
                 }
                 let update = match rng.u32(0..6) {
-                    0 => ListUpdate::Failed,
-                    1 => ListUpdate::Complete(lines.clone()),
-                    _ => ListUpdate::Changes(vec![lines[i].clone()]),
+                    0 => EndpointUpdate::Failed,
+                    1 => EndpointUpdate::Complete(lines.clone()),
+                    _ => EndpointUpdate::Changes(vec![lines[i].clone()]),
                 };
-                actions.extend_from_slice(rig.tell(Event::List(update)));
+                actions.extend_from_slice(rig.tell(Event::Endpoints(update)));
             }
             _ => actions = rig.wait(Span::from_ms(rng.f64() * 15.0)),
         }
--- a/tests/recorded_actions.rs
+++ b/crates/balancer-core/tests/recorded_actions.rs
@@ -1,14 +1,14 @@
 //! Plays long seeded sequences of events and compares a digest of every action with the one recorded before.
 //!
-//! A balancer reads no clock and starts no thread, so equal seeds and events give equal actions. A change that is
-//! meant to leave decisions alone (names, modules, types) must leave every digest as it is. A change that is meant
-//! to alter decisions records new digests in its own commit and says so.
+//! A balancer reads no clock and starts no thread, so equal seeds and events give equal actions. A change
+//! that is meant to leave decisions alone (names, modules, types) must leave every digest as it is. A change
+//! that is meant to alter decisions records new digests in its own commit and says so.
 
 mod common;
 
+use balancer_core::*;
 use common::{class, keyed};
 use fnv::FnvHasher;
-use micasail::*;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::hash::Hasher;
@@ -26,7 +26,7 @@
 }
 
 struct ServerModel {
-    endpoint: Listed,
+    endpoint: Endpoint,
     in_flight: u32,
     fault: Fault,
 }
@@ -38,7 +38,7 @@
     /// The fleet, discovery and the clients are as usual again.
     Calm,
     Recovery(ServerId),
-    Endpoints(ListUpdate),
+    Endpoints(EndpointUpdate),
     Timer(TimerId),
     AttemptEnd {
         request: RequestId,
@@ -136,14 +136,15 @@
             let is_warming_up = initial_fleet == InitialFleet::HalfWarmingUp && number % 2 == 0;
             let server = world.add_server(is_warming_up.then_some(world.now));
             if initial_fleet == InitialFleet::Draining {
-                world.servers.get_mut(&server).expect("just added").endpoint.status = Status::Draining;
+                world.servers.get_mut(&server).expect("just added").endpoint.status =
+                    EndpointStatus::Draining;
                 world.schedule(150.0, Pending::Recovery(server));
             }
         }
         let mut actions = Vec::new();
         world.balancer.start(world.now, &mut actions);
         world.carry_out(actions);
-        world.handle(Event::List(ListUpdate::Saved(world.endpoints())));
+        world.handle(Event::Endpoints(EndpointUpdate::Cached(world.endpoints())));
         world.schedule(1.0, Pending::Arrival);
         world.schedule(500.0, Pending::Fault);
         world
@@ -180,12 +181,12 @@
             }
             Pending::Recovery(server) => {
                 self.servers.get_mut(&server).expect("it is known").fault = Fault::None;
-                if self.servers[&server].endpoint.status != Status::Serving {
-                    self.change_status(server, Status::Serving);
+                if self.servers[&server].endpoint.status != EndpointStatus::Serving {
+                    self.change_status(server, EndpointStatus::Serving);
                 }
             }
-            Pending::Endpoints(update) => self.handle(Event::List(update)),
-            Pending::Timer(timer) => self.handle(Event::Timer(timer)),
+            Pending::Endpoints(update) => self.handle(Event::Endpoints(update)),
+            Pending::Timer(timer) => self.handle(Event::TimerDue(timer)),
             Pending::AttemptEnd { request, attempt, server, outcome, sent } => {
                 self.end_attempt(request, attempt, server, outcome, sent);
             }
@@ -196,22 +197,27 @@
                     true => (Outcome::TimedOut, None),
                     false => (Outcome::Success, Some(report)),
                 };
-                self.handle(Event::Probed { server, outcome, elapsed: Span::from_ms(2.0), report });
+                self.handle(Event::HealthChecked {
+                    server,
+                    outcome,
+                    elapsed: Span::from_ms(2.0),
+                    load_report: report,
+                });
             }
             Pending::Disconnect(request) => {
                 if self.requests.get(&request).is_some_and(|r| !r.ended) {
                     self.end_request(request);
-                    self.handle(Event::ClientGone { request });
+                    self.handle(Event::ClientDisconnected { request });
                 }
             }
             Pending::FirstByte(request) => {
                 if let Some(model) = self.requests.get_mut(&request).filter(|r| !r.ended && r.sends > 0) {
                     model.streams = true;
-                    let attempt = AttemptNo(model.sends - 1);
+                    let attempt = AttemptNumber(model.sends - 1);
                     self.handle(Event::FirstByte { request, attempt });
                 }
             }
-            Pending::Gossip(payload) => self.handle(Event::PeerMessage { from: PeerId(1), payload }),
+            Pending::Gossip(payload) => self.handle(Event::Gossip { from: PeerId(1), payload }),
         }
     }
 
@@ -231,7 +237,7 @@
             request.tenant = Some(TenantId(skewed));
         }
         if self.scenario.routing_keys > 0 {
-            request.key = Some(KeyId(self.rng.u64(0..self.scenario.routing_keys)));
+            request.routing_key = Some(RoutingKey(self.rng.u64(0..self.scenario.routing_keys)));
         }
         if self.rng.u32(0..3) == 0 {
             request.cost_hint = Some(Span::from_ms(5.0 + self.rng.f64() * 150.0));
@@ -259,13 +265,13 @@
         let server = *self.servers.keys().nth(self.rng.usize(0..count)).expect("it has servers");
         match self.rng.u32(0..20) {
             0..=7 => self.change_behaviour(server),
-            8 => self.change_status(server, Status::Draining),
-            9 | 10 => self.change_status(server, Status::Gone),
+            8 => self.change_status(server, EndpointStatus::Draining),
+            9 | 10 => self.change_status(server, EndpointStatus::Removed),
             11 | 12 => self.restart(server),
             13 => {
                 let started = Some(self.now);
                 let new = self.add_server(started);
-                self.change_status(new, Status::Serving);
+                self.change_status(new, EndpointStatus::Serving);
             }
             14 => self.fleet_slowness = [1.0, 1.0, 2.5, 6.0, 12.0][self.rng.usize(0..5)],
             15 => self.discovery_is_down = !self.discovery_is_down,
@@ -297,12 +303,12 @@
         self.schedule(recovers_after, Pending::Recovery(server));
     }
 
-    fn change_status(&mut self, server: ServerId, status: Status) {
+    fn change_status(&mut self, server: ServerId, status: EndpointStatus) {
         let model = self.servers.get_mut(&server).expect("it is known");
         model.endpoint.status = status;
         let endpoint = model.endpoint.clone();
-        self.publish(ListUpdate::Changes(vec![endpoint]));
-        if status != Status::Serving {
+        self.publish(EndpointUpdate::Changes(vec![endpoint]));
+        if status != EndpointStatus::Serving {
             let returns_after = 500.0 + 20_000.0 * self.rng.f64();
             self.schedule(returns_after, Pending::Recovery(server));
         }
@@ -311,17 +317,17 @@
     fn restart(&mut self, server: ServerId) {
         let started = Some(self.now);
         let model = self.servers.get_mut(&server).expect("it is known");
-        (model.endpoint.started, model.fault) = (started, Fault::None);
-        self.change_status(server, Status::Serving);
+        (model.endpoint.started_at, model.fault) = (started, Fault::None);
+        self.change_status(server, EndpointStatus::Serving);
     }
 
     fn publish_all(&mut self) {
-        let update = ListUpdate::Complete(self.endpoints());
+        let update = EndpointUpdate::Complete(self.endpoints());
         self.publish(update);
     }
 
-    fn publish(&mut self, update: ListUpdate) {
-        let update = if self.discovery_is_down { ListUpdate::Failed } else { update };
+    fn publish(&mut self, update: EndpointUpdate) {
+        let update = if self.discovery_is_down { EndpointUpdate::Failed } else { update };
         self.schedule(5.0, Pending::Endpoints(update));
     }
 
@@ -329,20 +335,20 @@
         let number = self.next_server;
         self.next_server += 1;
         let server = ServerId(number);
-        let endpoint = Listed {
+        let endpoint = Endpoint {
             zone: ZoneId(number % self.scenario.zones),
-            kind: KindId(number % self.scenario.kinds),
+            machine_kind: MachineKindId(number % self.scenario.kinds),
             cell: CellId(number % self.scenario.zones),
             weight: 1.0 + f64::from(number % 3),
-            started,
-            ..Listed::serving(server)
+            started_at: started,
+            ..Endpoint::serving(server)
         };
         self.servers.insert(server, ServerModel { endpoint, in_flight: 0, fault: Fault::None });
         server
     }
 
-    fn endpoints(&self) -> Vec<Listed> {
-        let listed = self.servers.values().filter(|s| s.endpoint.status != Status::Gone);
+    fn endpoints(&self) -> Vec<Endpoint> {
+        let listed = self.servers.values().filter(|s| s.endpoint.status != EndpointStatus::Removed);
         listed.map(|s| s.endpoint.clone()).collect()
     }
 
@@ -374,10 +380,17 @@
         let closed = model.ended;
         let server_model = self.servers.get_mut(&server).expect("it is known");
         server_model.in_flight -= 1;
-        let reports = self.scenario.settings.report_source == ReportSource::Answers;
+        let reports = self.scenario.settings.load_report_source == LoadReportSource::Responses;
         let report = if reports && outcome == Outcome::Success { Some(self.report(server)) } else { None };
-        let (elapsed, attempt) = (self.now.since(sent), AttemptNo(attempt));
-        self.handle(Event::Outcome { request, attempt, outcome, elapsed, report, closed });
+        let (elapsed, attempt) = (self.now.since(sent), AttemptNumber(attempt));
+        self.handle(Event::AttemptEnded {
+            request,
+            attempt,
+            outcome,
+            elapsed,
+            load_report: report,
+            is_request_finished: closed,
+        });
     }
 
     fn handle(&mut self, event: Event) {
@@ -392,10 +405,10 @@
             match action {
                 Action::Send { request, server, timeout_at, .. } => self.send(request, server, timeout_at),
                 Action::Cancel { request, attempt } => self.cancel(request, attempt.0),
-                Action::Refuse { request, .. } | Action::Fail { request } => self.end_request(request),
+                Action::Reject { request, .. } | Action::Fail { request } => self.end_request(request),
                 Action::SetTimer { at, timer } => self.schedule_at(at, Pending::Timer(timer)),
-                Action::Probe { server } => self.schedule(2.0, Pending::Probed(server)),
-                Action::Follow { active: true } => self.publish_all(),
+                Action::CheckHealth { server } => self.schedule(2.0, Pending::Probed(server)),
+                Action::WatchEndpoints => self.publish_all(),
                 _ => {}
             }
         }
@@ -406,7 +419,7 @@
         let model = self.servers.get_mut(&server).expect("only listed servers are sent to");
         model.in_flight += 1;
         let crowd = 1.0 + f64::from(model.in_flight) / 8.0;
-        let kind = 1.0 + 0.7 * f64::from(model.endpoint.kind.0);
+        let kind = 1.0 + 0.7 * f64::from(model.endpoint.machine_kind.0);
         let normal = self.scenario.base_latency_ms * self.fleet_slowness * kind * crowd * noise;
         let (outcome, after) = match model.fault {
             Fault::None => (Outcome::Success, normal),
@@ -421,7 +434,7 @@
         let attempt = request_model.sends;
         request_model.sends += 1;
         request_model.timeouts_at.insert(attempt, (server, self.now));
-        let left = timeout_at.since(self.now).ms();
+        let left = timeout_at.since(self.now).as_ms();
         let (outcome, after) = if after < left { (outcome, after) } else { (Outcome::TimedOut, left) };
         let sent = self.now;
         self.schedule(after, Pending::AttemptEnd { request, attempt, server, outcome, sent });
@@ -443,19 +456,18 @@
                 (0, vec![request.0, server.0.into(), timeout_at.0, write_by.map_or(none, |at| at.0)])
             }
             Action::Cancel { request, attempt } => (1, vec![request.0, attempt.0.into()]),
-            Action::Refuse { request, retry_after } => {
+            Action::Reject { request, retry_after } => {
                 (2, vec![request.0, retry_after.map_or(none, |after| after.0)])
             }
             Action::Fail { request } => (3, vec![request.0]),
             Action::SetTimer { at, timer } => (4, vec![at.0, timer.0]),
-            Action::Probe { server } => (5, vec![server.0.into()]),
+            Action::CheckHealth { server } => (5, vec![server.0.into()]),
             Action::CloseIdle { server } => (6, vec![server.0.into()]),
-            Action::Tell { to, payload } => {
+            Action::Gossip { to, payload } => {
                 let bytes = payload.iter().map(|byte| u64::from(*byte));
                 (7, std::iter::once(to.map_or(none, |peer| peer.0.into())).chain(bytes).collect())
             }
-            Action::Follow { active } => (8, vec![u64::from(*active)]),
-            Action::FetchList => (9, vec![]),
+            Action::WatchEndpoints => (8, vec![1]),
             Action::Log { text } => {
                 let numbers = text.split_whitespace().filter_map(|word| word.parse::<f64>().ok());
                 (10, numbers.map(f64::to_bits).collect())
@@ -469,45 +481,55 @@
 }
 
 fn settings_stream(settings: &Settings, class: usize) -> bool {
-    settings.classes[class].stream
+    settings.classes[class].is_streaming
 }
 
 /// One class for each effect, and one that streams.
-fn all_effects() -> Vec<Class> {
+fn all_effects() -> Vec<RequestClass> {
     vec![
         class(Effect::Idempotent),
-        Class { worth: 4.0, aim: Span::from_ms(120.0), ..class(Effect::AtMostOnce) },
-        Class { worth: 2.0, ..class(keyed(Group::All, 400.0)) },
-        Class { worth: 0.3, ..class(keyed(Group::Zone, 300.0)) },
-        Class { late_worth: 0.4, ..class(keyed(Group::Cell, 600.0)) },
-        Class { late_worth: 0.3, stream: true, ..class(Effect::Idempotent) },
+        RequestClass {
+            priority_weight: 4.0,
+            latency_objective: Span::from_ms(120.0),
+            ..class(Effect::AtMostOnce)
+        },
+        RequestClass { priority_weight: 2.0, ..class(keyed(DedupScope::Fleet, 400.0)) },
+        RequestClass { priority_weight: 0.3, ..class(keyed(DedupScope::Zone, 300.0)) },
+        RequestClass { late_value: 0.4, ..class(keyed(DedupScope::Cell, 600.0)) },
+        RequestClass { late_value: 0.3, is_streaming: true, ..class(Effect::Idempotent) },
     ]
 }
 
 fn small_deployment() -> Settings {
     Settings {
-        balancers: 4,
+        balancer_count: 4,
         classes: all_effects(),
-        goal: Goal { whole: 0.6, worst_window: 0.2, worst_class: 0.2, worst_tenant: 0.0 },
-        retry_after: true,
+        goal: GoalWeights { overall: 0.6, worst_window: 0.2, worst_class: 0.2, worst_tenant: 0.0 },
+        sends_retry_after: true,
         max_retry_after: Span::from_ms(45.0),
-        cold_share: 0.15,
-        warm_after: Span::from_ms(6000.0),
+        initial_capacity: 0.15,
+        warm_up_time: Span::from_ms(6000.0),
         overload_factor: 3.0,
-        fall_after: Span::from_ms(800.0),
+        overload_window: Span::from_ms(800.0),
         connect_timeout: Span::from_ms(20.0),
-        ask_within: Span::from_ms(3000.0),
+        max_poll_interval: Span::from_ms(3000.0),
         ..Settings::default()
     }
 }
 
 fn large_deployment() -> Settings {
-    let prices = Prices { cross_zone: 0.01, handshake: 0.08, waste: 0.3, ..Prices::default() };
-    Settings { balancers: 300, prices, peers: true, weights: Weights::Size, ..small_deployment() }
+    let costs = Costs { cross_zone: 0.01, handshake: 0.08, wasted_work: 0.3, ..Costs::default() };
+    Settings {
+        balancer_count: 300,
+        costs,
+        allows_gossip: true,
+        endpoint_weights: EndpointWeights::Size,
+        ..small_deployment()
+    }
 }
 
 fn tenants() -> Vec<Tenant> {
-    [0.2, 0.5, 0.3].map(|fraction| Tenant { fraction, allowance_per_s: 20.0 }).to_vec()
+    [0.2, 0.5, 0.3].map(|fraction| Tenant { share: fraction, quota_per_s: 20.0 }).to_vec()
 }
 
 fn scenario(seed: u64, settings: Settings) -> Scenario {
@@ -527,32 +549,32 @@
 }
 
 fn few_balancers_pushed() -> Scenario {
-    let settings = Settings { second_copies: true, ..small_deployment() };
+    let settings = Settings { allows_hedging: true, ..small_deployment() };
     scenario(11, settings)
 }
 
 fn few_balancers_polling_endpoints() -> Scenario {
-    let prices = Prices { cross_zone: 0.02, ..Prices::default() };
+    let costs = Costs { cross_zone: 0.02, ..Costs::default() };
     let settings = Settings {
-        discovery: Discovery::OnRequest,
-        prices,
-        report_source: ReportSource::Answers,
-        report_fields: vec![ReportField::InFlight, ReportField::ServiceTime],
+        discovery_mode: DiscoveryMode::OnRequest,
+        costs,
+        load_report_source: LoadReportSource::Responses,
+        load_report_fields: vec![LoadReportField::InFlight, LoadReportField::ServiceTime],
         ..small_deployment()
     };
     Scenario { servers: 12, mean_fault_gap_ms: 250.0, ..scenario(12, settings) }
 }
 
 fn costly_zones_and_few_servers() -> Scenario {
-    let prices = Prices { cross_zone: 0.05, ..Prices::default() };
-    let settings = Settings { prices, cancel: false, max_attempts: 2, ..small_deployment() };
+    let costs = Costs { cross_zone: 0.05, ..Costs::default() };
+    let settings = Settings { costs, allows_cancel: false, max_attempts: 2, ..small_deployment() };
     Scenario { servers: 4, mean_gap_ms: 3.0, ..scenario(13, settings) }
 }
 
 fn routing_keys() -> Scenario {
     let settings = Settings {
-        warm_keys: true,
-        classes: vec![class(Effect::Idempotent), class(keyed(Group::All, 300.0))],
+        has_key_affinity: true,
+        classes: vec![class(Effect::Idempotent), class(keyed(DedupScope::Fleet, 300.0))],
         ..small_deployment()
     };
     Scenario {
@@ -568,21 +590,21 @@
 fn tenants_over_their_share() -> Scenario {
     let settings = Settings {
         tenants: tenants(),
-        over_share_worth: 0.1,
-        worth_by_work: true,
-        balancers: 3,
+        over_share_value: 0.1,
+        value_basis: ValueBasis::Work,
+        balancer_count: 3,
         ..small_deployment()
     };
     Scenario { servers: 5, mean_gap_ms: 4.0, ..scenario(15, settings) }
 }
 
 fn burst_on_a_tiny_fleet() -> Scenario {
-    let settings = Settings { balancers: 2, ..small_deployment() };
+    let settings = Settings { balancer_count: 2, ..small_deployment() };
     Scenario { servers: 2, zones: 1, mean_gap_ms: 2.0, mean_fault_gap_ms: 900.0, ..scenario(16, settings) }
 }
 
 fn long_lived_fleet() -> Scenario {
-    let settings = Settings { warm_keys: true, ..small_deployment() };
+    let settings = Settings { has_key_affinity: true, ..small_deployment() };
     Scenario {
         requests: 5000,
         mean_gap_ms: 100.0,
@@ -594,32 +616,33 @@
 
 fn many_balancers_pushed() -> Scenario {
     let settings = Settings {
-        report_source: ReportSource::Answers,
-        report_fields: vec![ReportField::Queue, ReportField::ServiceTime],
+        load_report_source: LoadReportSource::Responses,
+        load_report_fields: vec![LoadReportField::QueueLength, LoadReportField::ServiceTime],
         ..large_deployment()
     };
     Scenario { servers: 60, mean_gap_ms: 15.0, mean_fault_gap_ms: 150.0, ..scenario(18, settings) }
 }
 
 fn many_balancers_polling_endpoints() -> Scenario {
-    let settings = Settings { discovery: Discovery::OnRequest, tenants: tenants(), ..large_deployment() };
+    let settings =
+        Settings { discovery_mode: DiscoveryMode::OnRequest, tenants: tenants(), ..large_deployment() };
     Scenario { servers: 40, kinds: 4, mean_gap_ms: 30.0, ..scenario(19, settings) }
 }
 
 fn many_balancers_probing_loads(probe: f64, seed: u64) -> Scenario {
     let base = large_deployment();
     let settings = Settings {
-        prices: Prices { probe, ..base.prices.clone() },
-        probes: true,
-        report_source: ReportSource::Probes,
-        report_fields: vec![ReportField::InFlight, ReportField::ServiceTime],
+        costs: Costs { health_check: probe, ..base.costs.clone() },
+        allows_health_checks: true,
+        load_report_source: LoadReportSource::HealthChecks,
+        load_report_fields: vec![LoadReportField::InFlight, LoadReportField::ServiceTime],
         ..base
     };
     Scenario { servers: 30, mean_gap_ms: 20.0, mean_fault_gap_ms: 200.0, ..scenario(seed, settings) }
 }
 
 fn many_balancers_jammed() -> Scenario {
-    let settings = Settings { peers: false, ..large_deployment() };
+    let settings = Settings { allows_gossip: false, ..large_deployment() };
     let initial_fleet = InitialFleet::HalfWarmingUp;
     Scenario { servers: 25, mean_gap_ms: 5.0, base_latency_ms: 40.0, initial_fleet, ..scenario(22, settings) }
 }
@@ -695,7 +718,7 @@
         assert!(counts[0] > 100, "{name}: {} sends", counts[0]);
         total.iter_mut().zip(counts).for_each(|(all, count)| *all += count);
     }
-    let fetch = 9;
-    let unseen: Vec<usize> = (0..total.len()).filter(|&i| i != fetch && total[i] < 20).collect();
+    let retired = 9;
+    let unseen: Vec<usize> = (0..total.len()).filter(|&i| i != retired && total[i] < 20).collect();
     assert!(unseen.is_empty(), "kinds of action hardly seen: {unseen:?} of {total:?}");
 }
--- a/tests/settings.rs
+++ b/crates/balancer-core/tests/settings.rs
@@ -1,7 +1,7 @@
 //! Guards against settings that lack what a decision could use, and against ones that no decision can use.
 mod common;
+use balancer_core::*;
 use common::*;
-use micasail::*;
 
 #[test]
 fn impossible_settings_are_errors_and_not_panics() {
@@ -12,25 +12,32 @@
     };
     assert_eq!(with(|s| s.classes.clear()), Some(SettingsError::NoClasses));
     assert_eq!(with(|s| s.max_attempts = 0), Some(SettingsError::NoAttempts));
-    assert_eq!(with(|s| s.classes[0].aim = Span::ZERO), Some(SettingsError::ZeroSpan { setting: "aim" }));
+    assert_eq!(
+        with(|s| s.classes[0].latency_objective = Span::ZERO),
+        Some(SettingsError::ZeroSpan { setting: "aim" })
+    );
     assert_eq!(
         with(|s| s.classes[0].deadline = Span::ZERO),
         Some(SettingsError::ZeroSpan { setting: "deadline" })
     );
-    assert!(matches!(with(|s| s.cold_share = f64::NAN), Some(SettingsError::BadNumber { .. })));
+    assert!(matches!(with(|s| s.initial_capacity = f64::NAN), Some(SettingsError::BadNumber { .. })));
     assert!(matches!(with(|s| s.overload_factor = -1.0), Some(SettingsError::BadNumber { .. })));
-    assert!(matches!(with(|s| s.classes[0].worth = f64::INFINITY), Some(SettingsError::BadNumber { .. })));
+    assert!(matches!(
+        with(|s| s.classes[0].priority_weight = f64::INFINITY),
+        Some(SettingsError::BadNumber { .. })
+    ));
     assert_eq!(with(|_| ()), None);
 }
 
-/// No reports, keys, tenants, probes, cancels or advice, and no goal to speak of: requests are served all the same.
+/// No reports, keys, tenants, probes, cancels or advice, and no goal to speak of: requests are served all the
+/// same.
 #[test]
 fn the_plain_path_needs_nothing_but_a_class() {
     let settings = Settings {
         classes: vec![class(Effect::Idempotent)],
-        cancel: false,
-        goal: Goal { whole: 0.0, worst_window: 0.0, worst_class: 0.0, worst_tenant: 0.0 },
-        warm_after: Span::ZERO,
+        allows_cancel: false,
+        goal: GoalWeights { overall: 0.0, worst_window: 0.0, worst_class: 0.0, worst_tenant: 0.0 },
+        warm_up_time: Span::ZERO,
         ..Settings::default()
     };
     let mut rig = Rig::new(settings, 1);
--- a/tests/suspects.rs
+++ b/crates/balancer-core/tests/suspects.rs
@@ -1,7 +1,7 @@
 //! Guards against servers that hang, fail fast or slow down, and against taking a crowd for sick servers.
 mod common;
+use balancer_core::*;
 use common::*;
-use micasail::*;
 
 fn settings(effect: Effect) -> Settings {
     Settings { classes: vec![class(effect)], ..Settings::default() }
@@ -75,7 +75,7 @@
     }
     let actions = rig.wait(Span::from_ms(150.0));
     for &(id, _) in asked.iter().filter(|a| a.1 == hung) {
-        assert!(actions.contains(&Action::Cancel { request: id, attempt: AttemptNo(0) }), "{actions:?}");
+        assert!(actions.contains(&Action::Cancel { request: id, attempt: AttemptNumber(0) }), "{actions:?}");
         rig.answer(id, 0, Outcome::Cancelled, 150.0);
         assert!(rig.sent_to(id).is_some_and(|s| s != hung));
         rig.answer(id, 1, Outcome::Success, 20.0);
@@ -97,15 +97,16 @@
     assert!(seen(&rig.wait(Span::from_ms(60.0))), "past its aim it counts");
 }
 
-/// Its answer is lost, but its server answers others: it once waited for its deadline and held a place till then.
+/// Its answer is lost, but its server answers others: it once waited for its deadline and held a place till
+/// then.
 #[test]
 fn a_repeatable_request_that_hangs_among_quick_answers_is_called_back() {
-    let late = Class { late_worth: 0.3, ..class(Effect::Idempotent) };
+    let late = RequestClass { late_value: 0.3, ..class(Effect::Idempotent) };
     let mut rig = Rig::new(Settings { classes: vec![late], ..Settings::default() }, 5);
     rig.list(fleet(1, 1, 1));
     serve(&mut rig, 1, 40, |_| (Outcome::Success, 20.0));
     let lost = rig.ask(0).0;
-    let cancel = Action::Cancel { request: lost, attempt: AttemptNo(0) };
+    let cancel = Action::Cancel { request: lost, attempt: AttemptNumber(0) };
     let called_back = (0..20).any(|_| {
         let (id, server) = rig.ask(0);
         assert!(server.is_some());
@@ -148,8 +149,8 @@
     rig.assert_rules();
 }
 
-/// Where no report tells the loads, a tie once went to the server that had been sent the least since the start: one
-/// that joins late, or comes back, drew all ties until it had caught up with the others.
+/// Where no report tells the loads, a tie once went to the server that had been sent the least since the
+/// start: one that joins late, or comes back, drew all ties until it had caught up with the others.
 #[test]
 fn a_server_that_joins_late_does_not_win_every_tie() {
     let mut rig = Rig::new(settings(Effect::Idempotent), 11);
--- a/settings/src/lib.rs
+++ b/crates/balancer-settings/src/lib.rs
@@ -1,7 +1,7 @@
 //! Reads the settings object that an instance is given: in the simulator's first message, and in a real
 //! agent's configuration. The one place where its words are known.
 
-use micasail::*;
+use balancer_core::*;
 use serde::Deserialize;
 
 /// An instance's settings. Absent keys take the values of [`Default`]; unknown ones are skipped.
@@ -166,9 +166,9 @@
     pub tenants: Vec<String>,
     /// The zones, by [`ZoneId`].
     pub zones: Vec<String>,
-    /// The kinds of machine, by [`KindId`].
+    /// The kinds of machine, by [`MachineKindId`].
     pub kinds: Vec<String>,
-    /// The fields of a load report, in the order of [`Settings::report_fields`].
+    /// The fields of a load report, in the order of [`Settings::load_report_fields`].
     pub report_fields: Vec<String>,
     /// A connection that is still not made after this has failed.
     pub connect_timeout: Span,
@@ -197,95 +197,98 @@
     let rules = &params.rules;
     let classes = params.classes.iter().map(class).collect();
     let field = |name: &String| match name.as_str() {
-        "inflight" => ReportField::InFlight,
-        "queue" => ReportField::Queue,
-        "util" => ReportField::Utilisation,
-        "latency_ms" => ReportField::ServiceTime,
-        "qps" => ReportField::Rate,
-        "eps" => ReportField::Errors,
-        _ => ReportField::Other,
+        "inflight" => LoadReportField::InFlight,
+        "queue" => LoadReportField::QueueLength,
+        "util" => LoadReportField::Utilisation,
+        "latency_ms" => LoadReportField::ServiceTime,
+        "qps" => LoadReportField::RequestRate,
+        "eps" => LoadReportField::ErrorRate,
+        _ => LoadReportField::Unknown,
     };
     Settings {
-        balancers: params.balancers.unwrap_or(standard.balancers),
-        zone: ZoneId(params.zone),
+        balancer_count: params.balancers.unwrap_or(standard.balancer_count),
+        local_zone: ZoneId(params.zone),
         classes,
         tenants: params
             .parties
             .iter()
-            .map(|p| Tenant { fraction: p.fraction, allowance_per_s: p.allowance_per_s })
+            .map(|p| Tenant { share: p.fraction, quota_per_s: p.allowance_per_s })
             .collect(),
-        over_share_worth: params.over_share_worth.unwrap_or(standard.over_share_worth),
-        worth_by_work: params.worth_by == Some(WorthBy::Work),
-        goal: Goal {
-            whole: params.goal.whole,
+        over_share_value: params.over_share_worth.unwrap_or(standard.over_share_value),
+        value_basis: match params.worth_by {
+            Some(WorthBy::Work) => ValueBasis::Work,
+            Some(WorthBy::Request) | None => ValueBasis::Requests,
+        },
+        goal: GoalWeights {
+            overall: params.goal.whole,
             worst_window: params.goal.worst_window,
             worst_class: params.goal.worst_class,
             worst_tenant: params.goal.worst_tenant,
         },
-        prices: Prices {
+        costs: Costs {
             cross_zone: params.penalties.cross_zone,
-            probe: params.penalties.probe,
+            health_check: params.penalties.probe,
             handshake: params.penalties.handshake,
             connection: params.penalties.connection,
-            waste: params.penalties.waste,
-            late_fail: params.penalties.late_fail,
+            wasted_work: params.penalties.waste,
+            late_failure: params.penalties.late_fail,
         },
-        discovery: match params.discovery {
-            Some(DiscoveryWord::OnRequest) => Discovery::OnRequest,
-            Some(DiscoveryWord::Pushed) | None => Discovery::Pushed,
+        discovery_mode: match params.discovery {
+            Some(DiscoveryWord::OnRequest) => DiscoveryMode::OnRequest,
+            Some(DiscoveryWord::Pushed) | None => DiscoveryMode::Pushed,
         },
-        ask_within: span(rules.ask_within_ms, standard.ask_within),
-        report_source: match params.feedback.source {
-            Source::Piggyback => ReportSource::Answers,
-            Source::Pull => ReportSource::Probes,
-            Source::Silent => ReportSource::None,
+        max_poll_interval: span(rules.ask_within_ms, standard.max_poll_interval),
+        load_report_source: match params.feedback.source {
+            Source::Piggyback => LoadReportSource::Responses,
+            Source::Pull => LoadReportSource::HealthChecks,
+            Source::Silent => LoadReportSource::None,
         },
-        report_fields: params.feedback.fields.iter().map(field).collect(),
-        weights: match params.weights {
-            Some(WeightsWord::Nominal | WeightsWord::Rough) => Weights::Size,
-            Some(WeightsWord::Live) => Weights::Live,
-            Some(WeightsWord::Silent) | None => Weights::None,
+        load_report_fields: params.feedback.fields.iter().map(field).collect(),
+        endpoint_weights: match params.weights {
+            Some(WeightsWord::Nominal | WeightsWord::Rough) => EndpointWeights::Size,
+            Some(WeightsWord::Live) => EndpointWeights::SizeOverLoad,
+            Some(WeightsWord::Silent) | None => EndpointWeights::Unspecified,
         },
-        warm_keys: params.family_info.warm_keys,
+        has_key_affinity: params.family_info.warm_keys,
         max_attempts: params.limits.max_attempts.unwrap_or(standard.max_attempts),
-        second_copies: params.limits.second_copies,
-        cancel: params.limits.cancel,
-        probes: params.limits.probes,
-        peers: params.limits.peers,
-        retry_after: params.limits.retry_after,
+        allows_hedging: params.limits.second_copies,
+        allows_cancel: params.limits.cancel,
+        allows_health_checks: params.limits.probes,
+        allows_gossip: params.limits.peers,
+        sends_retry_after: params.limits.retry_after,
         max_retry_after: Span::from_ms(params.limits.max_retry_after_ms),
         drain_grace: span(rules.stop_sending_within_ms, standard.drain_grace),
-        cold_share: rules.cold_share.unwrap_or(standard.cold_share),
-        warm_after: span(rules.warm_after_ms, standard.warm_after),
+        initial_capacity: rules.cold_share.unwrap_or(standard.initial_capacity),
+        warm_up_time: span(rules.warm_after_ms, standard.warm_up_time),
         overload_factor: rules.overload_factor.unwrap_or(standard.overload_factor),
-        fall_after: span(rules.fall_ms, standard.fall_after),
+        overload_window: span(rules.fall_ms, standard.overload_window),
         connect_timeout: standard.connect_timeout,
-        period: span(params.period_ms, standard.period),
+        event_interval: span(params.period_ms, standard.event_interval),
     }
 }
 
-fn class(params: &ClassParams) -> Class {
+fn class(params: &ClassParams) -> RequestClass {
     let effect = match params.effect {
         EffectWord::Idempotent => Effect::Idempotent,
         EffectWord::AtMostOnce => Effect::AtMostOnce,
         EffectWord::Deduplicated => Effect::Deduplicated {
-            group: match params.group {
-                Some(GroupWord::All) => Group::All,
-                Some(GroupWord::Zone) => Group::Zone,
+            scope: match params.group {
+                Some(GroupWord::All) => DedupScope::Fleet,
+                Some(GroupWord::Zone) => DedupScope::Zone,
                 // Without a stated group the narrowest one is the safe reading.
-                Some(GroupWord::Cell) | None => Group::Cell,
+                Some(GroupWord::Cell) | None => DedupScope::Cell,
             },
             window: Span::from_ms(params.dedup_window_ms),
         },
     };
-    Class {
+    RequestClass {
         effect,
-        aim: Span::from_ms(params.aim_ms),
-        aim_stretch: params.aim_stretch.unwrap_or(0.0),
+        latency_objective: Span::from_ms(params.aim_ms),
+        objective_stretch: params.aim_stretch.unwrap_or(0.0),
         deadline: Span::from_ms(params.deadline_ms),
-        worth: params.points,
-        late_worth: params.late_worth,
-        stream: params.stream,
+        priority_weight: params.points,
+        late_value: params.late_worth,
+        is_streaming: params.stream,
     }
 }
 
--- a/adapter/src/host.rs
+++ b/crates/simulator-adapter/src/host.rs
@@ -1,8 +1,8 @@
-//! Hosts the balancers: names in, names out, and each event to the instance that it is for.
+//! Hosts the balancer_count: names in, names out, and each event to the instance that it is for.
 
 use crate::wire::{self, Batch, Incoming, Outgoing, Reply, ReplyPart};
-use micasail::*;
-use micasail_settings::{fnv1a, settings};
+use balancer_core::*;
+use balancer_settings::{fnv1a, settings};
 use std::collections::{BTreeMap, HashMap};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
@@ -11,7 +11,7 @@
 #[derive(Debug, Clone)]
 struct Known {
     name: Rc<str>,
-    line: Listed,
+    line: Endpoint,
 }
 
 /// What an open request still waits for, so that its name can be dropped afterwards.
@@ -90,8 +90,8 @@
         }
         let instance = self.instances.get_mut(&who).ok_or("an event came before ATTACH")?;
         let event = match incoming {
-            Incoming::Registry { form, r#ref, .. } => Some(Event::List(match form {
-                wire::Form::Error => ListUpdate::Failed,
+            Incoming::Registry { form, r#ref, .. } => Some(Event::Endpoints(match form {
+                wire::Form::Error => EndpointUpdate::Failed,
                 form => {
                     let number = r#ref.ok_or("REGISTRY names no catalogue")?;
                     let list = self.catalogues.get(&number).ok_or_else(|| {
@@ -99,9 +99,9 @@
                     })?;
                     let lines = instance.intern_list(list);
                     match form {
-                        wire::Form::Partial => ListUpdate::Changes(lines),
-                        wire::Form::Complete => ListUpdate::Complete(lines),
-                        _ => ListUpdate::Saved(lines),
+                        wire::Form::Partial => EndpointUpdate::Changes(lines),
+                        wire::Form::Complete => EndpointUpdate::Complete(lines),
+                        _ => EndpointUpdate::Cached(lines),
                     }
                 }
             })),
@@ -156,7 +156,7 @@
 
     /// A server's number is a hash of its name, so that balancers mean the same by it when they talk. Should two
     /// names meet in one number, the later one takes the next that is free.
-    fn intern_list(&mut self, list: &[Known]) -> Vec<Listed> {
+    fn intern_list(&mut self, list: &[Known]) -> Vec<Endpoint> {
         list.iter()
             .map(|known| {
                 let server = *self.servers.entry(known.name.clone()).or_insert_with(|| {
@@ -167,7 +167,7 @@
                     self.server_names.insert(ServerId(id), known.name.clone());
                     ServerId(id)
                 });
-                Listed { server, ..known.line.clone() }
+                Endpoint { server, ..known.line.clone() }
             })
             .collect()
     }
@@ -190,45 +190,45 @@
                     id,
                     class: ClassId(cls),
                     tenant: party.map(TenantId),
-                    key: affinity.map(|key| KeyId(fnv1a(&key))),
+                    routing_key: affinity.map(|key| RoutingKey(fnv1a(&key))),
                     cost_hint: hint.map(Span::from_ms),
-                    repeat: opts & 2 != 0,
+                    is_client_retry: opts & 2 != 0,
                     time_left: Span::from_ms(expires_in_ms),
                 }))
             }
             Incoming::FirstByte { ticket, attempt } => self
                 .tickets
                 .get(&*ticket)
-                .map(|t| Event::FirstByte { request: t.id, attempt: AttemptNo(attempt) }),
+                .map(|t| Event::FirstByte { request: t.id, attempt: AttemptNumber(attempt) }),
             Incoming::Done { ticket, finished, time_taken_ms, ending, attempt, gauge } => {
                 self.tickets.get_mut(&*ticket).map(|t| {
                     t.out = t.out.saturating_sub(1);
                     t.ended |= finished;
-                    Event::Outcome {
+                    Event::AttemptEnded {
                         request: t.id,
-                        attempt: AttemptNo(attempt),
+                        attempt: AttemptNumber(attempt),
                         outcome: outcome(ending),
                         elapsed: Span::from_ms(time_taken_ms),
-                        report: gauge,
-                        closed: finished,
+                        load_report: gauge,
+                        is_request_finished: finished,
                     }
                 })
             }
             Incoming::Aborted { ticket } => self.tickets.get_mut(&*ticket).map(|t| {
                 t.ended = true;
-                Event::ClientGone { request: t.id }
+                Event::ClientDisconnected { request: t.id }
             }),
-            Incoming::Elapsed { key_back } => Some(Event::Timer(TimerId(key_back))),
+            Incoming::Elapsed { key_back } => Some(Event::TimerDue(TimerId(key_back))),
             Incoming::Probed { backend, ending, time_taken_ms, gauge } => {
                 let server = *self
                     .servers
                     .get(&*backend)
                     .ok_or_else(|| format!("PROBED names backend {backend}, which no list has named"))?;
                 let elapsed = Span::from_ms(time_taken_ms);
-                Some(Event::Probed { server, outcome: outcome(ending), elapsed, report: gauge })
+                Some(Event::HealthChecked { server, outcome: outcome(ending), elapsed, load_report: gauge })
             }
             Incoming::Mail { src_peer, raw } => {
-                Some(Event::PeerMessage { from: PeerId(src_peer), payload: unhex(&raw)? })
+                Some(Event::Gossip { from: PeerId(src_peer), payload: unhex(&raw)? })
             }
             Incoming::Attach { .. }
             | Incoming::Retire {}
@@ -250,34 +250,33 @@
                 let backend = backend(server, &self.server_names);
                 let Some((ticket, entry)) = self.ticket(request) else { return gone() };
                 entry.out += 1;
-                Outgoing::Route { ticket, backend, until_ms: timeout_at.ms() }
+                Outgoing::Route { ticket, backend, until_ms: timeout_at.as_ms() }
             }
             Action::Cancel { request, attempt } => {
                 let Some((ticket, _)) = self.ticket(request) else { return gone() };
                 Outgoing::Abandon { ticket, attempt: attempt.0 }
             }
-            Action::Refuse { request, retry_after } => {
+            Action::Reject { request, retry_after } => {
                 let Some((ticket, entry)) = self.ticket(request) else { return gone() };
                 entry.ended = true;
-                Outgoing::OverloadReply { ticket, not_before_for_ms: retry_after.map(Span::ms) }
+                Outgoing::OverloadReply { ticket, not_before_for_ms: retry_after.map(Span::as_ms) }
             }
             Action::Fail { request } => {
                 let Some((ticket, entry)) = self.ticket(request) else { return gone() };
                 entry.ended = true;
                 Outgoing::Abort { ticket }
             }
-            Action::SetTimer { at, timer } => Outgoing::Timer { at_ms: at.ms(), key_back: timer.0 },
-            Action::Probe { server } => {
+            Action::SetTimer { at, timer } => Outgoing::Timer { at_ms: at.as_ms(), key_back: timer.0 },
+            Action::CheckHealth { server } => {
                 Outgoing::HealthCheck { backend: backend(server, &self.server_names) }
             }
             Action::CloseIdle { server } => {
                 Outgoing::CloseIdle { backend: backend(server, &self.server_names) }
             }
-            Action::Tell { to, payload } => {
+            Action::Gossip { to, payload } => {
                 Outgoing::Announce { to: to.map_or(-1, |peer| i64::from(peer.0)), raw: hex(&payload) }
             }
-            Action::Follow { active } => Outgoing::Follow { active },
-            Action::FetchList => Outgoing::Pull {},
+            Action::WatchEndpoints => Outgoing::Follow { active: true },
             Action::Log { text } => Outgoing::NoteDown { what: text },
         }
     }
@@ -306,18 +305,18 @@
     let started = entry.last_start_ms.filter(|ms| *ms > 0.0).map(Time::from_ms);
     Ok(Known {
         name: Rc::from(&*entry.backend),
-        line: Listed {
+        line: Endpoint {
             server: ServerId(0),
             zone: ZoneId(entry.campus),
-            kind: KindId(entry.class_of_host),
+            machine_kind: MachineKindId(entry.class_of_host),
             cell: CellId(entry.cluster),
             status: match entry.status {
-                wire::EntryStatus::Serving => Status::Serving,
-                wire::EntryStatus::Draining => Status::Draining,
-                wire::EntryStatus::Deleted => Status::Gone,
+                wire::EntryStatus::Serving => EndpointStatus::Serving,
+                wire::EntryStatus::Draining => EndpointStatus::Draining,
+                wire::EntryStatus::Deleted => EndpointStatus::Removed,
             },
             weight,
-            started,
+            started_at: started,
         },
     })
 }
--- a/adapter/src/main.rs
+++ b/crates/simulator-adapter/src/main.rs
@@ -1,4 +1,4 @@
-//! Lets micasail balancers decide on the simulator's wire: a line of events in, a line of actions out.
+//! Lets balancer_core balancers decide on the simulator's wire: a line of events in, a line of actions out.
 
 mod host;
 mod wire;
@@ -38,7 +38,7 @@
     match run(&mut io::stdin().lock(), &mut io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
-            eprintln!("micasail-adapter: {fault}");
+            eprintln!("balancer_core-adapter: {fault}");
             ExitCode::from(2)
         }
     }
--- a/adapter/src/wire.rs
+++ b/crates/simulator-adapter/src/wire.rs
@@ -27,7 +27,7 @@
 pub enum Incoming<'a> {
     Attach {
         salt: u64,
-        params: Box<micasail_settings::Params>,
+        params: Box<balancer_settings::Params>,
     },
     Retire {},
     #[serde(rename_all = "camelCase")]
@@ -176,7 +176,6 @@
     CloseIdle { backend: String },
     Announce { to: i64, raw: String },
     Follow { active: bool },
-    Pull {},
     NoteDown { what: String },
     Bug { what: String },
 }
