--- a/crates/balancer-agent/src/config.rs
+++ b/crates/balancer-agent/src/config.rs
@@ -2,7 +2,7 @@
 
 use crate::discovery::{self, List};
 use balancer_core::{DiscoveryMode, Settings};
-use balancer_settings::{Names, Params};
+use balancer_settings::{HostSettings, WireSettings};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -29,7 +29,7 @@
     /// What the decisions go by.
     pub settings: Settings,
     /// The names in the settings and the limits of sockets.
-    pub names: Names,
+    pub names: HostSettings,
     /// The server list as the agent last had it.
     pub known: List,
 }
@@ -48,7 +48,7 @@
     limits: Limits,
     #[serde(default)]
     known: serde_json::Value,
-    settings: Params,
+    settings: WireSettings,
 }
 
 #[derive(Default, Deserialize)]
@@ -85,17 +85,17 @@
         };
         let listen = address("PROXY_LISTEN", file.listen)?;
         let discovery = address("PROXY_DISCOVERY", file.discovery)?;
-        let mut settings = balancer_settings::settings(&file.settings);
+        let mut settings = Settings::from(&file.settings);
         // Nothing is pushed over these sockets: the list comes to whoever keeps up a watch.
         settings.discovery_mode = DiscoveryMode::OnRequest;
         // And what discovery has counts as told whether a watch is open or not, so that one that broke must be begun
         // anew well within a drain's time, however often it has.
         settings.max_poll_interval = settings.max_poll_interval.min(settings.drain_grace);
         settings.check().map_err(|e| e.to_string())?;
-        let names = balancer_settings::names(&file.settings);
+        let names = HostSettings::from(&file.settings);
         // In the simulator a connection comes up in the instant of the decision, or the attempt has failed.
         settings.connect_timeout = names.connect_timeout;
-        if let Some(place) = names.classes.iter().position(String::is_empty) {
+        if let Some(place) = names.class_names.iter().position(String::is_empty) {
             return Err(format!("settings give class {place} no name"));
         }
         if file.limits.sockets.is_some_and(|sockets| sockets < MIN_SOCKETS) {
@@ -111,7 +111,7 @@
             listen,
             discovery,
             // Any text makes a seed; only the form of the deployment's own is read as a number.
-            seed: u64::from_str_radix(&seed, 16).unwrap_or_else(|_| balancer_settings::fnv1a(&seed)),
+            seed: u64::from_str_radix(&seed, 16).unwrap_or_else(|_| balancer_settings::hash_name(&seed)),
             sockets: file.limits.sockets.unwrap_or(SOCKETS).min(MAX_SOCKETS),
             settings,
             names,
--- a/crates/balancer-agent/src/config/tests.rs
+++ b/crates/balancer-agent/src/config/tests.rs
@@ -16,7 +16,7 @@
     assert_eq!(config.listen.port(), 3);
     assert_eq!(config.discovery.port(), 2);
     assert_eq!(config.seed, 255);
-    assert_eq!(config.names.classes, ["a"]);
+    assert_eq!(config.names.class_names, ["a"]);
 }
 
 #[test]
--- a/crates/balancer-agent/src/driver.rs
+++ b/crates/balancer-agent/src/driver.rs
@@ -7,7 +7,7 @@
 use crate::discovery::{Discovery, Health, List};
 use crate::upstream::{Ended, Progress, Upstream};
 use balancer_core::*;
-use balancer_settings::{fnv1a, Names};
+use balancer_settings::{hash_name, HostSettings};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH};
@@ -124,7 +124,7 @@
     /// The balancer's clock.
     pub clock: Clock,
     /// The names of the settings.
-    pub names: Names,
+    pub names: HostSettings,
     /// What each class would do twice, by its number.
     pub effects: Vec<Effect>,
     upstream: Rc<Upstream>,
@@ -141,7 +141,7 @@
             connections,
             Duration::from_micros(config.names.connect_timeout.0),
             Duration::from_micros(config.names.keepalive.0),
-            config.names.report_fields.clone(),
+            config.names.load_report_fields.clone(),
         ));
         let mut balancer = Balancer::new(config.settings, config.seed)?;
         let mut actions = Vec::new();
@@ -407,8 +407,8 @@
             }
             lines.push(Endpoint {
                 server,
-                zone: ZoneId(place(&self.names.zones, &host.site)),
-                machine_kind: MachineKindId(place(&self.names.kinds, &host.kind)),
+                zone: ZoneId(place(&self.names.zone_names, &host.site)),
+                machine_kind: MachineKindId(place(&self.names.machine_kind_names, &host.kind)),
                 cell: CellId(host.block),
                 status,
                 weight: host.share,
@@ -471,7 +471,7 @@
         if let Some(id) = self.servers.get(name) {
             return *id;
         }
-        let mut id = fnv1a(name) as u32;
+        let mut id = hash_name(name) as u32;
         while self.names.contains_key(&ServerId(id)) {
             id = id.wrapping_add(1);
         }
@@ -486,7 +486,7 @@
 /// pass for one.
 fn place(names: &[String], name: &str) -> u32 {
     let known = names.iter().position(|n| n == name);
-    known.unwrap_or_else(|| names.len() + (fnv1a(name) as u32 >> 1) as usize) as u32
+    known.unwrap_or_else(|| names.len() + (hash_name(name) as u32 >> 1) as usize) as u32
 }
 
 /// What goes to a backend: the request unchanged, and how long the agent will wait.
--- a/crates/balancer-agent/src/server.rs
+++ b/crates/balancer-agent/src/server.rs
@@ -4,7 +4,7 @@
 use crate::framing::{Framed, Line, Phase, MAX_HEAD};
 use crate::upstream::{forwarded, MAX_BODY};
 use balancer_core::{ClassId, Effect, RequestId, RoutingKey, Span, TenantId};
-use balancer_settings::fnv1a;
+use balancer_settings::hash_name;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -311,7 +311,7 @@
         let names = &self.driver.names;
         let path = head.uri.path();
         let first = path.trim_start_matches('/').split('/').next().unwrap_or_default();
-        let class = names.classes.iter().position(|name| name == first);
+        let class = names.class_names.iter().position(|name| name == first);
         let class = class.ok_or_else(|| plain(StatusCode::NOT_FOUND, "no such class of request"))?;
         if text(&head.headers, "x-priority-class") != Some(first) {
             return Err(bad("X-Priority-Class must be the first part of the path"));
@@ -320,11 +320,11 @@
             return Err(bad("X-Request-ID is missing or too long"));
         }
         let tenant = match text(&head.headers, "x-tenant-id") {
-            _ if names.tenants.is_empty() => None,
-            Some(tenant) => names.tenants.iter().position(|name| name == tenant).map(TenantId),
+            _ if names.tenant_names.is_empty() => None,
+            Some(tenant) => names.tenant_names.iter().position(|name| name == tenant).map(TenantId),
             None => None,
         };
-        if tenant.is_none() && !names.tenants.is_empty() {
+        if tenant.is_none() && !names.tenant_names.is_empty() {
             return Err(bad("X-Tenant-Id names no tenant"));
         }
         let wait = text(&head.headers, "x-timeout").and_then(wait_of);
@@ -358,7 +358,7 @@
         Ok(Arrival {
             class: ClassId(class),
             tenant,
-            key: key.map(|key| RoutingKey(fnv1a(key))),
+            key: key.map(|key| RoutingKey(hash_name(key))),
             cost_hint: cost.filter(|us| *us > 0.0 && us.is_finite()).map(|us| Span::from_ms(us / 1e3)),
             repeat: text(&head.headers, "x-retried") == Some("1"),
             deadline: Instant::now() + (wait - room),
--- a/crates/balancer-agent/src/server/tests.rs
+++ b/crates/balancer-agent/src/server/tests.rs
@@ -2,7 +2,7 @@
 use crate::config::Config;
 use crate::discovery::List;
 use balancer_core::Settings;
-use balancer_settings::{names, Names, Params};
+use balancer_settings::{HostSettings, WireSettings};
 use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
@@ -32,7 +32,10 @@
         seed: 1,
         sockets: 100,
         settings: Settings::default(),
-        names: Names { classes: vec!["read".into()], ..names(&Params::default()) },
+        names: HostSettings {
+            class_names: vec!["read".into()],
+            ..HostSettings::from(&WireSettings::default())
+        },
         known: List::default(),
     };
     Server::new(Driver::start(config, 10).expect("a driver"), 10, Duration::from_secs(1))
--- a/crates/simulator-adapter/src/host.rs
+++ b/crates/simulator-adapter/src/host.rs
@@ -2,7 +2,7 @@
 
 use crate::wire::{self, Batch, Incoming, Outgoing, Reply, ReplyPart};
 use balancer_core::*;
-use balancer_settings::{fnv1a, settings};
+use balancer_settings::hash_name;
 use std::collections::{BTreeMap, HashMap};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
@@ -76,7 +76,7 @@
                 return Ok(());
             }
             Incoming::Attach { salt, params } => {
-                let balancer = Balancer::new(settings(&params), salt).map_err(|e| e.to_string())?;
+                let balancer = Balancer::new(Settings::from(&*params), salt).map_err(|e| e.to_string())?;
                 self.instances.insert(who, Instance::new(balancer));
                 return self.drive(now, who, None, outbox);
             }
@@ -160,7 +160,7 @@
         list.iter()
             .map(|known| {
                 let server = *self.servers.entry(known.name.clone()).or_insert_with(|| {
-                    let mut id = fnv1a(&known.name) as u32;
+                    let mut id = hash_name(&known.name) as u32;
                     while self.server_names.contains_key(&ServerId(id)) {
                         id = id.wrapping_add(1);
                     }
@@ -190,7 +190,7 @@
                     id,
                     class: ClassId(cls),
                     tenant: party.map(TenantId),
-                    routing_key: affinity.map(|key| RoutingKey(fnv1a(&key))),
+                    routing_key: affinity.map(|key| RoutingKey(hash_name(&key))),
                     cost_hint: hint.map(Span::from_ms),
                     is_client_retry: opts & 2 != 0,
                     time_left: Span::from_ms(expires_in_ms),
--- a/crates/simulator-adapter/src/wire.rs
+++ b/crates/simulator-adapter/src/wire.rs
@@ -27,7 +27,7 @@
 pub enum Incoming<'a> {
     Attach {
         salt: u64,
-        params: Box<balancer_settings::Params>,
+        params: Box<balancer_settings::WireSettings>,
     },
     Retire {},
     #[serde(rename_all = "camelCase")]
