Split the agent into modules of one job, with dependencies in one direction

config, discovery, driver and upstream imported each other in a circle; driver mixed clock, names, event loop and requests, server mixed accepting, eviction, shutdown, validation and wording, upstream mixed pool, byte counting, attempts and probes, framing mixed parser and socket. Each is a module now; protocol types are at the bottom, and discovery hands its events to a listener it does not know. Typed errors say which variable, key or part of a request is wrong; the texts are as they were. Vectored and plain writes, and the HTTP/1.1 client handshake, stand once. Server names are the shared table of balancer-settings.

--- a/crates/balancer-agent/src/discovery.rs
+++ b/crates/balancer-agent/src/discovery.rs
@@ -1,107 +1,46 @@
-//! The server list: reading it and watching it.
+//! Watching the endpoint list.
 //!
 //! When to begin a watch, and when to begin one again after a failure, is the balancer's to say
 //! ([`balancer_core::Action::WatchEndpoints`]); a watch once begun is kept up here.
 
-use crate::driver::Driver;
+use crate::endpoint_list::EndpointList;
+use crate::http_client::{connect, start_http, ConnectionTask};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
-use hyper::client::conn::http1::{handshake, SendRequest};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use serde_json::Value;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
-
-/// How long a watch waits for news. Short enough that a mute discovery is found out soon.
-const WAIT: Duration = Duration::from_millis(5_000);
-/// A call that has said nothing this long after it should have is mute: discovery is down or cut off. What it had
-/// to tell counts as told 2 s after its wait; by then the next call must have been made.
-const MUTE: Duration = Duration::from_millis(1_500);
-/// The longest list that is read. Taken apart, one may take ten times its length, and memory may be 32 MB.
-const MAX_LIST: usize = 1 << 20;
-
-/// A server list or a change of one, as discovery words it.
-#[derive(Debug, Clone, Default, PartialEq)]
-pub struct List {
-    /// Its version.
-    pub seq: u64,
-    /// It is the whole list, not only what has changed.
-    pub whole: bool,
-    /// Its entries.
-    pub hosts: Vec<Host>,
-}
-
-/// One server.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Host {
-    /// Its name, the same at every agent.
-    pub name: String,
-    /// Where this agent reaches it; an entry of a removed server may lack it.
-    pub dial: Option<SocketAddr>,
-    /// Its zone.
-    pub site: String,
-    /// Its kind of machine.
-    pub kind: String,
-    /// Its cell.
-    pub block: u32,
-    /// What it says of its health.
-    pub health: Health,
-    /// Its weight.
-    pub share: f64,
-    /// When it last started, in Unix milliseconds; 0 for long ago.
-    pub born_ms: f64,
-}
-
-/// Whether a server takes work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Health {
-    /// It does.
-    Up,
-    /// It finishes what it has.
-    Draining,
-    /// It has left.
-    Removed,
-}
-
-/// Reads a list. An entry that makes no sense is left out: one bad line must not cost the others.
-pub fn parse_list(value: &Value) -> Option<List> {
-    let hosts = value.get("hosts")?.as_array()?;
-    Some(List {
-        seq: value.get("seq")?.as_u64()?,
-        whole: value.get("whole").and_then(Value::as_bool).unwrap_or(false),
-        hosts: hosts.iter().filter_map(parse_host).collect(),
-    })
+use tokio::time::timeout;
+
+/// How long a watch waits for news. Short enough that a silent discovery is found out soon.
+const WATCH_WAIT: Duration = Duration::from_millis(5_000);
+/// A call without an answer this long after it should have one has failed: discovery is down or cut off. What
+/// it had to tell counts as told 2 s after its wait (PROTOCOL page, "Figures"); by then the next call must
+/// have been made.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The longest list that is read. Parsed, one may take ten times its length, and memory may be 32 MB.
+const MAX_LIST_BYTES: usize = 1 << 20;
+
+/// Takes in what a watch brings.
+pub trait WatchListener {
+    /// An answer has come, or the watch has failed and is over.
+    fn handle_watch_event(self: Rc<Self>, event: WatchEvent);
 }
 
-fn parse_host(value: &Value) -> Option<Host> {
-    let text = |key: &str| value.get(key).and_then(Value::as_str);
-    let health = match text("health")? {
-        "up" => Health::Up,
-        "draining" => Health::Draining,
-        "removed" => Health::Removed,
-        _ => return None,
-    };
-    let dial = text("dial").and_then(|d| d.parse().ok());
-    if dial.is_none() && health == Health::Up {
-        return None;
-    }
-    Some(Host {
-        name: text("host").filter(|name| !name.is_empty())?.to_owned(),
-        dial,
-        site: text("site").unwrap_or_default().to_owned(),
-        kind: text("class").unwrap_or_default().to_owned(),
-        block: value.get("block").and_then(Value::as_u64).and_then(|b| u32::try_from(b).ok()).unwrap_or(0),
-        health,
-        share: value.get("share").and_then(Value::as_f64).unwrap_or(1.0),
-        born_ms: value.get("born_ms").and_then(Value::as_f64).unwrap_or(0.0),
-    })
+/// What a watch brings.
+#[derive(Debug, PartialEq)]
+pub enum WatchEvent {
+    /// The complete list, or changes of the one before.
+    Endpoints(EndpointList),
+    /// A call failed in any way; the watch is over.
+    Failed,
 }
 
-/// The calls to discovery; at most one watch at a time.
+/// The connection to discovery; at most one watch at a time.
 pub struct Discovery {
     address: SocketAddr,
     watch: Option<JoinHandle<()>>,
@@ -113,93 +52,94 @@
         Discovery { address, watch: None }
     }
 
-    /// Discovery has moved: calls to the old address, and their connections, end.
+    /// Discovery has moved: the watch at the old address ends, and its connection with it.
     pub fn relocate(&mut self, address: SocketAddr) {
         self.address = address;
-        if let Some(watch) = self.watch.take() {
-            watch.abort();
-        }
+        self.stop_watch();
     }
 
-    /// Begins a watch for what is newer than `seq`, in place of the one there may be. With no `seq` it begins with the
-    /// whole list.
-    pub fn watch(&mut self, driver: &Rc<Driver>, seq: Option<u64>) {
+    /// Begins a watch for what is newer than `version`, in place of the one there may be. Without a version
+    /// it begins with the complete list.
+    pub fn watch(&mut self, listener: Rc<impl WatchListener + 'static>, version: Option<u64>) {
+        self.stop_watch();
+        self.watch = Some(tokio::task::spawn_local(watch(self.address, listener, version)));
+    }
+
+    fn stop_watch(&mut self) {
         if let Some(watch) = self.watch.take() {
             watch.abort();
         }
-        self.watch = Some(tokio::task::spawn_local(watch(self.address, driver.clone(), seq)));
     }
 }
 
-/// Calls again as soon as the last call is answered, until one fails: then the watch is over, the balancer is
-/// told, and begins another when it sees fit.
-async fn watch(address: SocketAddr, driver: Rc<Driver>, mut seq: Option<u64>) {
-    let mut connection = None;
+/// Calls again as soon as the last call is answered, until one fails.
+async fn watch(address: SocketAddr, listener: Rc<impl WatchListener>, mut version: Option<u64>) {
+    let mut client = DiscoveryClient { address, connection: None };
     loop {
-        let (path, wait) = match seq {
-            Some(seq) => (format!("/v1/endpoints?after={seq}&wait_ms={}", WAIT.as_millis()), WAIT),
-            None => ("/v1/endpoints".to_owned(), Duration::ZERO),
+        let list = match version {
+            Some(version) => client.changes_after(version).await,
+            // Changes refer to a list that is known; as a first answer they would say nothing of the others.
+            None => client.complete_list().await.filter(|list| list.is_complete),
         };
-        // A change is one of a list that is known; as a first answer it would say nothing of the others.
-        let answer = call(address, &mut connection, &path, wait).await.filter(|l| seq.is_some() || l.whole);
-        let failed = answer.is_none();
-        if let Some(list) = &answer {
-            seq = Some(list.seq);
-        }
-        driver.listed(answer);
-        if failed {
-            return;
-        }
+        let Some(list) = list else {
+            return listener.handle_watch_event(WatchEvent::Failed);
+        };
+        version = Some(list.version);
+        listener.clone().handle_watch_event(WatchEvent::Endpoints(list));
     }
 }
 
-type Connection = (SendRequest<Empty<Bytes>>, Ended);
+struct Connection {
+    sender: SendRequest<Empty<Bytes>>,
+    _task: ConnectionTask,
+}
 
-/// Ends a connection's task with its last user.
-struct Ended(JoinHandle<()>);
+/// Makes calls to discovery. The connection is kept for the next call only if all went well.
+struct DiscoveryClient {
+    address: SocketAddr,
+    connection: Option<Connection>,
+}
 
-impl Drop for Ended {
-    fn drop(&mut self) {
-        self.0.abort();
+impl DiscoveryClient {
+    async fn complete_list(&mut self) -> Option<EndpointList> {
+        self.call("/v1/endpoints", Duration::ZERO).await
     }
-}
 
-/// One call; `None` if it failed in any way. The connection is kept for the next call only if all went well.
-async fn call(
-    address: SocketAddr,
-    kept: &mut Option<Connection>,
-    path: &str,
-    wait: Duration,
-) -> Option<List> {
-    let mut connection = kept.take();
-    let exchange = async {
-        if connection.as_mut().is_none_or(|(sender, _)| sender.is_closed()) {
-            let stream = TcpStream::connect(address).await.ok()?;
-            // A connection without it is slower at the worst.
-            let _ = stream.set_nodelay(true);
-            let (sender, driven) = handshake(TokioIo::new(stream)).await.ok()?;
-            let task = tokio::task::spawn_local(async move {
-                // Its end shows at the sender.
-                let _ = driven.await;
-            });
-            connection = Some((sender, Ended(task)));
-        }
-        let (sender, _) = connection.as_mut()?;
-        sender.ready().await.ok()?;
-        let request = Request::get(path).header("host", address.to_string()).body(Empty::new()).ok()?;
-        let response = sender.send_request(request).await.ok()?;
+    async fn changes_after(&mut self, version: u64) -> Option<EndpointList> {
+        let path = format!("/v1/endpoints?after={version}&wait_ms={}", WATCH_WAIT.as_millis());
+        self.call(&path, WATCH_WAIT).await
+    }
+
+    /// One call that discovery may let wait; none if it failed in any way. A discovery that is cut off leaves
+    /// its connection open and silent, so no answer in time is a failure like any other.
+    async fn call(&mut self, path: &str, wait: Duration) -> Option<EndpointList> {
+        let kept = self.connection.take();
+        let (connection, list) = timeout(wait + CALL_TIMEOUT, self.exchange(kept, path)).await.ok()??;
+        self.connection = Some(connection);
+        Some(list)
+    }
+
+    async fn exchange(&self, kept: Option<Connection>, path: &str) -> Option<(Connection, EndpointList)> {
+        let mut connection = match kept.filter(|connection| !connection.sender.is_closed()) {
+            Some(connection) => connection,
+            None => self.open().await?,
+        };
+        connection.sender.ready().await.ok()?;
+        let request = Request::get(path).header("host", self.address.to_string()).body(Empty::new());
+        let response = connection.sender.send_request(request.ok()?).await.ok()?;
         if response.status() != StatusCode::OK {
             return None;
         }
-        let body = Limited::new(response.into_body(), MAX_LIST).collect().await.ok()?.to_bytes();
-        parse_list(&serde_json::from_slice(&body).ok()?)
-    };
-    // A cut-off discovery leaves its connection open and mute: no answer in time is a failure like any other.
-    let answer = tokio::time::timeout(wait + MUTE, exchange).await.ok().flatten();
-    if answer.is_some() {
-        *kept = connection;
+        let body = Limited::new(response.into_body(), MAX_LIST_BYTES).collect().await.ok()?.to_bytes();
+        let list = EndpointList::parse(&serde_json::from_slice(&body).ok()?)?;
+        Some((connection, list))
+    }
+
+    async fn open(&self) -> Option<Connection> {
+        let stream = connect(self.address).await.ok()?;
+        let (sender, task) = start_http(&Builder::new(), TokioIo::new(stream)).await.ok()?;
+        Some(Connection { sender, _task: task })
     }
-    answer
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/crates/balancer-agent/src/upstream/client/tests.rs
@@ -0,0 +1,105 @@
+//! Attempts against servers that answer twice or read slowly.
+
+use super::*;
+use crate::endpoint_list::EndpointList;
+use crate::upstream::PoolLimits;
+use std::net::SocketAddr;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::LocalSet;
+use tokio::time::sleep_until;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(60);
+const LONG: Duration = Duration::from_secs(600);
+const SERVER: ServerId = ServerId(0);
+
+/// A client that knows the server behind the listener.
+fn client_of(listener: &TcpListener) -> ServerClient {
+    let address = listener.local_addr().expect("an address");
+    let limits = PoolLimits { max_connections: 10, connect_timeout: CONNECT_TIMEOUT, keepalive: LONG };
+    let pool = ConnectionPool::new(limits);
+    let list = serde_json::json!({"seq": 1, "hosts": [
+        {"host": "s", "dial": address.to_string(), "health": "up"}]});
+    let list = EndpointList::parse(&list).expect("a list");
+    pool.update(SERVER, &list.entries[0]);
+    ServerClient::new(pool, Vec::new())
+}
+
+fn response(body: &str) -> Vec<u8> {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+}
+
+/// Sends a request and returns the body of its answer.
+async fn ask(client: &ServerClient) -> Bytes {
+    let request = Request::get("/").body(Full::default()).expect("a request");
+    let ended = client.attempt(SERVER, request, Instant::now() + LONG, &AttemptProgress::new(None)).await;
+    ended.answer.expect("an answer").body
+}
+
+/// Accepts a connection, answers the request that comes over it, and keeps it open.
+async fn serve(listener: &TcpListener, body: &str) -> TcpStream {
+    let (mut stream, _) = listener.accept().await.expect("a connection");
+    let mut head = [0; 256];
+    assert!(stream.read(&mut head).await.expect("a request") > 0);
+    stream.write_all(&response(body)).await.expect("it is written");
+    stream
+}
+
+/// The next request over a connection that has just brought an answer waits a moment: the second answer is
+/// there before anything of that request is written, whose own answer comes over another connection.
+#[tokio::test(start_paused = true)]
+async fn a_second_answer_is_not_given_to_the_next_request() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let client = client_of(&listener);
+    let play = async {
+        let (first, mut stream) = tokio::join!(ask(&client), serve(&listener, "first"));
+        assert_eq!(first, "first");
+        stream.write_all(&response("second")).await.expect("it is written");
+
+        let next = timeout(CONNECT_TIMEOUT, serve(&listener, "next"));
+        let (next, _stream) = tokio::join!(ask(&client), next);
+
+        assert_eq!(next, "next");
+    };
+    LocalSet::new().run_until(play).await;
+}
+
+/// A listener whose connections take in next to nothing until they are read from.
+fn slow_listener() -> TcpListener {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    // With small segments the client's side of the connection takes in little as well.
+    socket.set_tcp_mss(88).expect("an option");
+    socket.set_recv_buffer_size(2048).expect("an option");
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+    socket.listen(1).expect("a listener");
+    socket.set_nonblocking(true).expect("an option");
+    TcpListener::from_std(socket.into()).expect("a listener")
+}
+
+/// Accepts a connection, reads from it only from `start` on, and returns how much came.
+async fn read_from(listener: &TcpListener, start: Instant) -> usize {
+    let (mut stream, _) = listener.accept().await.expect("a connection");
+    sleep_until(start).await;
+    let mut bytes = Vec::new();
+    // A reset of the connection ends this too.
+    while bytes.len() <= MAX_BODY && stream.read_buf(&mut bytes).await.is_ok_and(|length| length > 0) {}
+    bytes.len()
+}
+
+/// The server reads only once the retry's window is over: it does not get the rest.
+#[tokio::test(start_paused = true)]
+async fn a_retry_that_is_still_being_written_at_the_end_of_its_window_is_not_finished() {
+    let listener = slow_listener();
+    let client = client_of(&listener);
+    let request = Request::post("/").body(Full::new(Bytes::from(vec![b'b'; MAX_BODY]))).expect("a request");
+    let started_at = Instant::now();
+    let progress = AttemptProgress::new(Some(started_at + Duration::from_secs(5)));
+    let attempt = client.attempt(SERVER, request, started_at + LONG, &progress);
+    let server = read_from(&listener, started_at + Duration::from_secs(6));
+
+    let play = async { tokio::join!(attempt, server) };
+    let (ended, received) = LocalSet::new().run_until(play).await;
+
+    assert!(received <= MAX_BODY, "it came completely");
+    assert_eq!(ended.outcome, Outcome::ConnectFailed, "it never ran");
+}
--- /dev/null
+++ b/crates/balancer-agent/src/upstream/counted_stream.rs
@@ -0,0 +1,113 @@
+//! A socket that counts what the kernel has taken, so that the fate of a broken attempt is known.
+
+use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
+use hyper_util::rt::TokioIo;
+use std::cell::Cell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{ready, Context, Poll};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+/// Read at a time.
+const CHUNK: usize = 4 << 10;
+
+/// What passes between a connection's task and its user.
+#[derive(Default)]
+pub struct WireState {
+    written: Cell<u64>,
+    /// Bytes that may still be read.
+    read_allowance: Cell<u64>,
+    write_by: Cell<Option<Instant>>,
+    is_write_closed: Cell<bool>,
+}
+
+impl WireState {
+    /// Bytes written so far.
+    pub fn written(&self) -> u64 {
+        self.written.get()
+    }
+
+    /// Allows so many bytes more to be read; one over that ends the connection.
+    pub fn allow_reading(&self, bytes: u64) {
+        self.read_allowance.set(bytes);
+    }
+
+    /// From this time on nothing is written any more, if there is one.
+    pub fn set_write_by(&self, write_by: Option<Instant>) {
+        self.write_by.set(write_by);
+    }
+
+    /// Nothing is written any more, not even what is queued already.
+    pub fn close_writing(&self) {
+        self.is_write_closed.set(true);
+    }
+
+    fn check_writable(&self) -> io::Result<()> {
+        let is_past_time = self.write_by.get().is_some_and(|write_by| Instant::now() > write_by);
+        if self.is_write_closed.get() || is_past_time {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        Ok(())
+    }
+}
+
+/// A connection's socket, with its wire state.
+pub struct CountedStream {
+    io: TokioIo<TcpStream>,
+    wire: Rc<WireState>,
+}
+
+impl CountedStream {
+    /// Wraps a connected socket; nothing may be read from it yet.
+    pub fn new(stream: TcpStream, wire: Rc<WireState>) -> Self {
+        CountedStream { io: TokioIo::new(stream), wire }
+    }
+}
+
+impl Read for CountedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        mut buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let mut chunk = [0; CHUNK];
+        let space = chunk.len().min(buf.remaining());
+        let mut read = ReadBuf::new(&mut chunk[..space]);
+        ready!(Pin::new(&mut self.io).poll_read(cx, read.unfilled()))?;
+        let allowance = self.wire.read_allowance.get().checked_sub(read.filled().len() as u64);
+        self.wire.read_allowance.set(allowance.ok_or(io::ErrorKind::InvalidData)?);
+        buf.put_slice(read.filled());
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl Write for CountedStream {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.poll_write_vectored(cx, &[io::IoSlice::new(buf)])
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_shutdown(cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.io.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.wire.check_writable()?;
+        let written = ready!(Pin::new(&mut self.io).poll_write_vectored(cx, bufs))?;
+        self.wire.written.set(self.wire.written.get() + written as u64);
+        Poll::Ready(Ok(written))
+    }
+}
--- a/crates/balancer-settings/src/server_names.rs
+++ b/crates/balancer-settings/src/server_names.rs
@@ -41,6 +41,11 @@
         self.names.get(&server)
     }
 
+    /// The numbers of all servers, in no certain order.
+    pub fn servers(&self) -> impl Iterator<Item = ServerId> + '_ {
+        self.names.keys().copied()
+    }
+
     /// Forgets a server; its number is free for another name.
     pub fn forget(&mut self, server: ServerId) {
         if let Some(name) = self.names.remove(&server) {
