--- a/crates/balancer-agent/src/config.rs
+++ b/crates/balancer-agent/src/config.rs
@@ -1,4 +1,4 @@
-//! What the agent is told at its start: the `PROXY_*` variables and the file that `PROXY_CONFIG` names
+//! The agent's configuration at its start: the `PROXY_*` variables and the file that `PROXY_CONFIG` names
 //! (DEPLOY page, "What an agent is told").
 
 use crate::endpoint_list::EndpointList;
@@ -13,7 +13,7 @@
 /// Fewer leave no room to serve; more than the maximum no process may hold.
 const MIN_SOCKETS: usize = 80;
 const MAX_SOCKETS: usize = 1 << 20;
-/// The agent's name where it is not told one.
+/// The agent's name where the configuration gives none.
 const DEFAULT_NAME: &str = "agent";
 
 /// A configuration that the agent cannot start with.
@@ -187,10 +187,10 @@
 /// The settings as they hold on real sockets.
 fn socket_settings(settings: Settings, host_settings: &HostSettings) -> Settings {
     Settings {
-        // Nothing is pushed over these sockets: the list comes to whoever keeps up a watch.
+        // Nothing is pushed over these sockets: changes of the list arrive only over an open watch.
         discovery_mode: DiscoveryMode::OnRequest,
-        // And what discovery has counts as told whether a watch is open or not, so that one that broke must
-        // be begun anew well within a drain's time, however often it has.
+        // What discovery has counts as notified whether or not a watch is open, so a broken watch must be
+        // reopened well within the drain grace, however often it breaks.
         max_poll_interval: settings.max_poll_interval.min(settings.drain_grace),
         // In the simulator a connection comes up in the instant of the decision, or the attempt has failed.
         connect_timeout: host_settings.connect_timeout,
--- a/crates/balancer-agent/src/discovery.rs
+++ b/crates/balancer-agent/src/discovery.rs
@@ -17,10 +17,10 @@
 use tokio::time::timeout;
 
 /// How long a watch waits for news. Short enough that a silent discovery is found out soon.
-const WATCH_WAIT: Duration = Duration::from_millis(5_000);
+const WATCH_WAIT: Duration = Duration::from_secs(5);
 /// A call without an answer this long after it should have one has failed: discovery is down or cut off. What
-/// it had to tell counts as told 2 s after its wait (PROTOCOL page, "Figures"); by then the next call must
-/// have been made.
+/// it had to deliver counts as notified 2 s after its wait (PROTOCOL page, "Figures"); by then the next call
+/// must have been made.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// The longest list that is read. Parsed, one may take ten times its length, and memory may be 32 MB.
 const MAX_LIST_BYTES: usize = 1 << 20;
--- a/crates/balancer-agent/src/discovery/tests.rs
+++ b/crates/balancer-agent/src/discovery/tests.rs
@@ -7,8 +7,8 @@
 
 /// The longest pause of the balancer before a broken watch is opened again.
 const MAX_PAUSE: Duration = Duration::from_millis(350);
-/// What a silent watch should have told counts as told this long after its wait, and sends to a server that
-/// has left must end a drain's time later. By then the next call must have been made.
+/// What a silent watch should have delivered counts as notified this long after its wait, and sends to a
+/// server that has left must end a drain's time later. By then the next call must have been made.
 const COUNTS_AS_TOLD_AFTER: Duration = Duration::from_secs(2);
 
 #[tokio::test(start_paused = true)]
--- a/crates/balancer-agent/src/driver.rs
+++ b/crates/balancer-agent/src/driver.rs
@@ -309,9 +309,10 @@
             WatchEvent::Failed => EndpointUpdate::Failed,
             WatchEvent::Endpoints(list) => {
                 let endpoints = self.update_servers(&mut state, &list);
-                match list.is_complete {
-                    true => EndpointUpdate::Complete(endpoints),
-                    false => EndpointUpdate::Changes(endpoints),
+                if list.is_complete {
+                    EndpointUpdate::Complete(endpoints)
+                } else {
+                    EndpointUpdate::Changes(endpoints)
                 }
             }
         };
--- a/crates/balancer-agent/src/driver/outgoing.rs
+++ b/crates/balancer-agent/src/driver/outgoing.rs
@@ -7,7 +7,7 @@
 use hyper::{Method, Request};
 use std::time::Duration;
 
-/// The header that tells how long the sender waits.
+/// The header that states how long the sender waits.
 const TIMEOUT: HeaderName = HeaderName::from_static("x-timeout");
 
 /// The request unchanged, and how long the agent will wait.
--- a/crates/balancer-agent/src/headers.rs
+++ b/crates/balancer-agent/src/headers.rs
@@ -2,7 +2,7 @@
 
 use hyper::header::HeaderMap;
 
-/// Headers that speak of the connection or are worded anew; they stay behind.
+/// Headers that belong to the connection or are set anew; they are not forwarded.
 const NOT_FORWARDED: [&str; 12] = [
     "connection",
     "keep-alive",
--- a/crates/balancer-agent/src/listener/invalid_request.rs
+++ b/crates/balancer-agent/src/listener/invalid_request.rs
@@ -1,4 +1,4 @@
-//! Requests that are not accepted, and how their clients are told.
+//! Invalid requests, and the answers to them.
 
 use super::response::{text_response, ClientResponse};
 use hyper::header::{HeaderValue, ALLOW};
--- a/crates/balancer-agent/src/listener/request_handler.rs
+++ b/crates/balancer-agent/src/listener/request_handler.rs
@@ -26,7 +26,7 @@
     ) -> Result<ClientResponse, Infallible> {
         let (mut response, is_last) = match self.respond(request, &connection).await {
             Ok(response) => (response, self.is_closing(&connection)),
-            // Who cannot word a request is not trusted with the rest of the connection.
+            // After an invalid request the rest of the connection is not trusted.
             Err(error) => (error.into(), true),
         };
         if is_last {
--- a/crates/balancer-agent/src/upstream/client.rs
+++ b/crates/balancer-agent/src/upstream/client.rs
@@ -84,7 +84,7 @@
         self.exchange(connection, request, written_when_complete).await
     }
 
-    /// Asks a server for its health, and for its load where it tells that.
+    /// Checks a server's health, and asks for its load where servers report it.
     pub async fn check_health(&self, server: ServerId) -> AttemptOutcome {
         let path = if self.load_report_fields.is_empty() { "/health" } else { "/status/load" };
         let request = Request::get(path).header("host", "backend").body(Full::default());
--- a/crates/balancer-core/src/balancer.rs
+++ b/crates/balancer-core/src/balancer.rs
@@ -15,7 +15,7 @@
 };
 use std::collections::{BTreeMap, BTreeSet};
 
-/// How often the balancer looks around while requests are queued, and while none are.
+/// Interval of ticks while requests are queued, and while none are.
 const BUSY_TICK: Span = Span(10_000);
 const IDLE_TICK: Span = Span(50_000);
 const TICK_TIMER: TimerId = TimerId(0);
@@ -180,7 +180,7 @@
         self.latency.retain_machine_kinds(&self.registry.machine_kinds());
     }
 
-    /// Measures what the serving fleet bears, in warm servers.
+    /// Measures the capacity of the serving fleet, in warm servers.
     fn measure_capacity(&mut self) {
         let serving = self.registry.serving_states();
         let shares: Vec<f64> = serving.map(|server| self.capacity_share(server)).collect();
@@ -204,8 +204,8 @@
         self.set_tick(if self.queue.is_empty() { IDLE_TICK } else { BUSY_TICK });
     }
 
-    /// Has the balancer look around soon. A tick that is due sooner is never put off: requests that are
-    /// queued at each tick would starve it and lose requests.
+    /// Schedules a tick soon. A tick that is due sooner is never postponed: requests that are queued at each
+    /// tick would starve it and miss their deadlines.
     pub(crate) fn tick_soon(&mut self) {
         if self.next_tick > self.now + BUSY_TICK {
             self.set_tick(BUSY_TICK);
--- a/crates/balancer-core/src/balancer/tests.rs
+++ b/crates/balancer-core/src/balancer/tests.rs
@@ -5,7 +5,7 @@
 
 fn endpoint(id: u32, status: EndpointStatus) -> Endpoint {
     let (zone, machine_kind) = (ZoneId(id), MachineKindId(id));
-    Endpoint { status, zone, machine_kind, ..Endpoint::serving(ServerId(id)) }
+    Endpoint { zone, machine_kind, status, ..Endpoint::serving(ServerId(id)) }
 }
 
 fn request(balancer: &mut Balancer, now: Time, id: u64) -> ServerId {
--- a/crates/balancer-core/src/event.rs
+++ b/crates/balancer-core/src/event.rs
@@ -1,4 +1,4 @@
-//! What a balancer is told while it runs, and what it asks its caller to do.
+//! Events, which a balancer receives, and actions, which it asks its caller to carry out.
 
 use crate::endpoint::EndpointUpdate;
 use crate::ids::{AttemptNumber, ClassId, PeerId, RequestId, RoutingKey, ServerId, TenantId, TimerId};
@@ -70,7 +70,7 @@
 /// orders them.
 pub type LoadReport = [f64];
 
-/// What the balancer is told.
+/// An input of the balancer.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
     /// A request has arrived.
@@ -126,7 +126,7 @@
     },
 }
 
-/// What the balancer wants done.
+/// An output of the balancer, to be carried out by its caller.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
     /// Send an attempt; attempts of a request are numbered in the order of their sends.
--- a/crates/balancer-core/src/lib.rs
+++ b/crates/balancer-core/src/lib.rs
@@ -1,9 +1,8 @@
 //! Client-side load-balancing decisions, without I/O.
 //!
-//! Each client process owns one [`Balancer`]. It is told what happens ([`Event`]) and when ([`Time`]), and
-//! answers with what to do ([`Action`]); it never reads a clock, opens a socket or starts a thread. Per
-//! request it compares the lightest server it remembers with fresh uniform draws, by its own requests in
-//! flight.
+//! Each client process owns one [`Balancer`]. It receives what happens ([`Event`]) and when ([`Time`]), and
+//! returns what to do ([`Action`]); it never reads a clock, opens a socket or starts a thread. Per request it
+//! compares the lightest server it remembers with fresh uniform draws, by its own requests in flight.
 //!
 //! ```
 //! use balancer_core::*;
@@ -12,20 +11,17 @@
 //!     latency_objective: Span::from_ms(100.0),
 //!     deadline: Span::from_ms(400.0),
 //!     ..RequestClass::default()
-//! };
-//! let settings = Settings { classes: vec![class], ..Settings::default() };
-//! let mut balancer = Balancer::new(settings, 7).expect("usable settings");
-//! let mut actions = Vec::new();
+//! }; let settings = Settings { classes: vec![class], ..Settings::default() }; let mut balancer =
+//! Balancer::new(settings, 7).expect("usable settings"); let mut actions = Vec::new();
 //!
-//! // The caller learns which servers there are ...
-//! let now = Time::from_ms(1000.0);
-//! let endpoints = vec![Endpoint::serving(ServerId(0)), Endpoint::serving(ServerId(1))];
-//! balancer.handle(now, Event::Endpoints(EndpointUpdate::Complete(endpoints)), &mut actions);
+//! // The caller learns which servers there are ... let now = Time::from_ms(1000.0); let endpoints =
+//! vec![Endpoint::serving(ServerId(0)), Endpoint::serving(ServerId(1))]; balancer.handle(now,
+//! Event::Endpoints(EndpointUpdate::Complete(endpoints)), &mut actions);
 //!
-//! // ... and passes on a request: the balancer says where to send it.
-//! let request = Request::new(RequestId(1), ClassId(0), Span::from_ms(400.0));
-//! balancer.handle(now, Event::Request(request), &mut actions);
-//! assert!(actions.iter().any(|action| matches!(action, Action::Send { request: RequestId(1), .. })));
+//! // ... and passes on a request: the balancer says where to send it. let request =
+//! Request::new(RequestId(1), ClassId(0), Span::from_ms(400.0)); balancer.handle(now,
+//! Event::Request(request), &mut actions); assert!(actions.iter().any(|action| matches!(action, Action::Send
+//! { request: RequestId(1), .. })));
 //! ```
 
 mod balancer;
--- a/crates/balancer-core/src/policy/admission.rs
+++ b/crates/balancer-core/src/policy/admission.rs
@@ -1,7 +1,7 @@
 //! Admission control: the probability with which requests are admitted, learned from latencies.
 //!
-//! It scales all concurrency limits. A balancer sees few answers of each server but many of the fleet, so a
-//! jam of most servers is answered within a few round trips, where the single limits would take half a
+//! It scales all concurrency limits. A balancer sees few answers of each server but many of the fleet, so an
+//! overload of most servers is answered within a few round trips, where the single limits would take half a
 //! minute. In a sparse view limits per server bind nothing, and the probability itself decides.
 
 use super::concurrency::TARGET_RATIO;
@@ -10,17 +10,17 @@
 use crate::Balancer;
 
 /// An answer is slow from this latency ratio on: by then a server holds several requests for each core, and
-/// one that does so for long turns slow for longer. Late answers alone are a sign that comes too late.
+/// one that does so for long turns slow for longer. Late answers alone would be noticed too late.
 pub const SLOW_RATIO: f64 = 2.0 * TARGET_RATIO;
 /// The probability loses this share of itself in a round trip of slow answers, and gains `GAIN` of its root
 /// in one of good ones: a quarter of slow answers holds it, low probabilities catch up.
 const CUT: f64 = 0.6;
 const GAIN: f64 = 0.2;
 /// In a sparse view this many answers count as a round trip at least, or one slow answer would shut the
-/// balancer; and this share is always admitted, or the end of a jam would never be seen.
+/// balancer; and this share is always admitted, or the end of an overload would never be seen.
 const MIN_ROUND: usize = 4;
 const MIN_PROBABILITY: f64 = 0.02;
-/// Classes that are shed first keep this part of the probability, so that none is shut out.
+/// Classes that are shed first keep this part of the probability, so that none is starved.
 const MIN_CLASS_PART: f64 = 0.5;
 
 /// The admission probability and the fleet that it was learned on.
@@ -37,8 +37,9 @@
     }
 
     /// Takes in the capacity of the serving fleet, in warm servers. In a sparse view the probability goes
-    /// with it: the list tells of a fleet that shrinks before any server is slow, and once they are slow they
-    /// stay so; one that warms up bears more. An empty list says nothing of what comes after it.
+    /// with it: the endpoint list shows a fleet that shrinks before any server is slow, and servers that are
+    /// slow stay slow; a fleet that warms up can handle more. An empty list says nothing about the fleet that
+    /// follows.
     pub fn follow_capacity(&mut self, capacity: f64, view: FleetView) {
         if capacity <= 0.0 {
             return;
@@ -50,8 +51,8 @@
         self.fleet_capacity = capacity;
     }
 
-    /// The probability for requests of this rank: what is shed first gives way, the others get what it
-    /// leaves.
+    /// The probability for requests of this rank: classes that are shed first get less, and the others get
+    /// the rest.
     fn probability_for(&self, order: ShedOrder, shed_first_share: f64) -> f64 {
         let floor = MIN_CLASS_PART * self.probability;
         let first = floor.max((self.probability - (1.0 - shed_first_share)) / shed_first_share);
--- a/crates/balancer-core/src/policy/concurrency.rs
+++ b/crates/balancer-core/src/policy/concurrency.rs
@@ -21,7 +21,7 @@
     limit: f64,
     last_completion: Time,
     last_latency_ms: f64,
-    /// A server that was full is left alone until then.
+    /// A server that was full is not sent anything until then.
     backoff_until: Time,
 }
 
@@ -32,9 +32,9 @@
         ConcurrencyLimit { limit, last_completion: now, last_latency_ms: 0.0, backoff_until: now }
     }
 
-    /// Takes in an answer, while `in_flight` other own requests are at the server. A limit falls slower than
-    /// the average `smoothed_ratio` forgets, or the lag would drive it down too far; a late answer or a full
-    /// queue is sure evidence and counts at once.
+    /// Takes in an answer, while `in_flight` other own requests are at the server. A limit falls more slowly
+    /// than the average `smoothed_ratio` adapts, or the lag would drive it down too far; a late answer or a
+    /// full queue is certain evidence and counts at once.
     pub fn record(&mut self, ratio: f64, smoothed_ratio: f64, in_flight: u32, min_limit: f64) {
         let overshoot = (smoothed_ratio / TARGET_RATIO - 1.0).min(MAX_OVERSHOOT);
         let is_late = ratio >= 1.0;
@@ -51,7 +51,7 @@
         (self.last_completion, self.last_latency_ms) = (now, latency.as_ms());
     }
 
-    /// Leaves a full server alone for a while, or what it rejects would go round the fleet at once.
+    /// Backs off from a full server, or what it rejects would go round the whole fleet at once.
     pub fn back_off(&mut self, now: Time, objective: Span, typical_ratio: f64) {
         self.last_latency_ms = objective.as_ms();
         self.backoff_until = now + Span::from_ms(objective.as_ms() * typical_ratio);
@@ -63,8 +63,8 @@
     }
 
     /// Whether one more request may be sent, by the limit scaled with the `admission` probability and with
-    /// the share of its capacity that the server surely has. A limit below one is judged as it is now; else
-    /// one late answer in a jam would silence a server for a minute.
+    /// the share of its capacity that the server surely has. A limit below one is judged as it is now;
+    /// otherwise one late answer during an overload would pause a server for a minute.
     pub fn has_capacity(&self, now: Time, in_flight: u32, admission: f64, capacity_share: f64) -> bool {
         let limit = self.limit * admission;
         let pause_ms = self.last_latency_ms * (1.0 / limit - 1.0).max(0.0);
--- a/crates/balancer-core/src/policy/deadline.rs
+++ b/crates/balancer-core/src/policy/deadline.rs
@@ -9,8 +9,8 @@
 /// objective.
 const QUEUE_MARGIN: f64 = 2.0;
 const MAX_QUEUE_MARGIN: f64 = 0.7;
-/// A rejected client is told to come back after this share of the objective: with time left for an answer in
-/// it.
+/// A rejected client is advised to retry after this share of the objective, which leaves time for an answer
+/// within it.
 const RETRY_AFTER_SHARE: f64 = 0.25;
 
 impl Balancer {
@@ -38,7 +38,7 @@
         self.cannot_be_in_time(active) || self.now + objective * margin >= active.objective_deadline
     }
 
-    /// When a rejected client should retry, where the settings allow to tell it.
+    /// When a rejected client should retry, if the settings allow such advice.
     pub(crate) fn retry_after(&self, class: usize) -> Option<Span> {
         let advice = self.settings.classes[class].latency_objective * RETRY_AFTER_SHARE;
         self.settings.sends_retry_after.then_some(advice.min(self.settings.max_retry_after))
--- a/crates/balancer-core/src/policy/feedback.rs
+++ b/crates/balancer-core/src/policy/feedback.rs
@@ -6,10 +6,9 @@
 use crate::state::{EndedAttempt, InFlightAttempt, WarmUp};
 use crate::{Balancer, Outcome};
 
-/// A sample counts as this latency ratio at most: late is late, and one costly request must not weigh like
-/// ten.
+/// A sample counts as this latency ratio at most: one costly request must not count like ten late ones.
 pub const LATE_RATIO: f64 = 1.0;
-/// The latency ratio of an attempt that says nothing of load.
+/// The latency ratio of an attempt that does not show load.
 const NO_LOAD: f64 = 0.0;
 
 impl Balancer {
@@ -26,7 +25,7 @@
         if attempt.is_probe {
             return self.finish_probe(attempt.server, ended.outcome, ratio);
         }
-        // Own counts do not show a server that a noisy neighbour slows, and it would stay remembered.
+        // Own counts do not show that a noisy neighbour slows a server, and it would stay remembered.
         let is_slow = ratio >= SLOW_RATIO && ratio > OUTLIER_FACTOR * self.latency.median_ratio;
         if self.is_sparse() && is_slow {
             self.memory.forget(attempt.server);
@@ -34,9 +33,9 @@
         self.eject_outlier(attempt.server, ended.outcome, ratio);
     }
 
-    /// The latency as a share of the class's objective. An attempt that hangs where others are answered in
-    /// good time says nothing of load: its connection is lost. One that is cancelled is not stopped: its work
-    /// may still stand in the server's queue.
+    /// The latency as a share of the class's objective. An attempt that hangs while others are answered in
+    /// time does not show load: its connection is lost. A cancelled attempt is not stopped: its work may
+    /// still be queued at the server.
     fn latency_ratio(&self, attempt: &InFlightAttempt, ended: &EndedAttempt) -> f64 {
         let objective = self.settings.classes[attempt.class].latency_objective;
         let server = &self.registry[attempt.server];
@@ -50,7 +49,7 @@
         }
     }
 
-    /// What any outcome shows of a server's health and of the link to its zone.
+    /// Records what an outcome shows of a server's health and of the link to its zone.
     fn learn_outcome(&mut self, attempt: &InFlightAttempt, outcome: Outcome, ratio: f64) {
         let server = &mut self.registry[attempt.server];
         server.health.record(self.now, outcome, ratio >= LATE_RATIO);
@@ -67,7 +66,7 @@
         }
     }
 
-    /// What a latency shows of a server, its kind of machine, slow start and the server's concurrency limit.
+    /// Records what a latency shows of a server, its kind of machine, slow start and its concurrency limit.
     fn learn_latency(&mut self, attempt: &InFlightAttempt, ended: &EndedAttempt, ratio: f64) {
         let (now, server) = (self.now, &mut self.registry[attempt.server]);
         let capacity_share = WarmUp::capacity_share(&self.settings, &server.endpoint, now);
--- a/crates/balancer-core/src/policy/lifecycle.rs
+++ b/crates/balancer-core/src/policy/lifecycle.rs
@@ -66,7 +66,7 @@
         self.drain_queue();
     }
 
-    /// A request still owes its answer after an attempt has failed.
+    /// Decides what follows a failed attempt of a request that is not answered yet.
     fn retry_or_finish(&mut self, id: RequestId, outcome: Outcome) {
         let active = &self.requests[&id];
         if active.has_attempt_in_flight() {
@@ -87,14 +87,12 @@
         }
     }
 
-    /// Gives the final answer from here: a rejection if that is true to the client, else a failure.
+    /// Gives the final answer: a rejection if that promise holds, else a failure.
     pub(crate) fn finish(&mut self, id: RequestId) {
         let Some(active) = self.requests.remove(&id) else { return };
         let may_reject = AttemptPermission::of(&self.settings, &active, self.now).may_reject;
         let retry_after = self.retry_after(active.class());
-        self.actions.push(match may_reject {
-            true => Action::Reject { request: id, retry_after },
-            false => Action::Fail { request: id },
-        });
+        let rejection = Action::Reject { request: id, retry_after };
+        self.actions.push(if may_reject { rejection } else { Action::Fail { request: id } });
     }
 }
--- a/crates/balancer-core/src/policy/load_polling.rs
+++ b/crates/balancer-core/src/policy/load_polling.rs
@@ -10,12 +10,12 @@
 /// the latency objective.
 const MAX_POLL_COST: f64 = 0.01;
 const POLL_TIME_SHARE: f64 = 0.05;
-/// No server holds so many requests; what says so is no load.
+/// Reported loads from this value on are not plausible.
 const MAX_LOAD: f64 = 1e4;
 
 impl Balancer {
-    /// Takes in a load report. A value that no server can have says nothing: a negative load must not make a
-    /// server look empty.
+    /// Takes in a load report. Values out of range are ignored: a negative load must not make a server look
+    /// empty.
     pub(crate) fn read_load_report(&mut self, server: ServerIndex, report: &LoadReport) {
         let fields = &self.settings.load_report_fields;
         let position = |field| fields.iter().position(|known| *known == field);
@@ -26,8 +26,8 @@
         update_recent_average(&mut self.mean_reported_load, load);
     }
 
-    /// Whether candidates are polled for their load first: where own counts say little, and reports come with
-    /// health checks only, say what a server holds and cost next to nothing.
+    /// Whether candidates are polled for their load first: where own counts say little, and load reports come
+    /// with health checks only, contain a load and cost next to nothing.
     pub(crate) fn polls_loads(&self) -> bool {
         let settings = &self.settings;
         let is_load = |field| matches!(field, &LoadReportField::InFlight | &LoadReportField::QueueLength);
--- a/crates/balancer-core/src/policy/outlier.rs
+++ b/crates/balancer-core/src/policy/outlier.rs
@@ -14,7 +14,7 @@
 const MIN_SAMPLES: u32 = 4;
 /// Failures in a row, with no success between, that eject a server.
 const MAX_FAILURES: u32 = 3;
-/// At most this share of the serving fleet is ejected; beyond it the fault is not the servers'.
+/// At most this share of the serving fleet is ejected; beyond that the cause is not the servers.
 const MAX_EJECTED_SHARE: f64 = 0.75;
 /// First and longest interval between two probes of an ejected server, and its growth with each failed one.
 const MIN_PROBE_INTERVAL: Span = Span(250_000);
@@ -54,7 +54,8 @@
 }
 
 impl Balancer {
-    /// Judges the probe of an ejected server: a good answer takes it back, any other has it wait longer.
+    /// Judges the probe of an ejected server: a good answer ends the ejection, any other lengthens the
+    /// interval.
     pub(crate) fn finish_probe(&mut self, server: ServerIndex, outcome: Outcome, ratio: f64) {
         let limit = OUTLIER_FACTOR * self.latency.median_ratio.max(MIN_PROBE_MEDIAN);
         let server = &mut self.registry[server];
@@ -67,8 +68,8 @@
         }
     }
 
-    /// Ejects a server that the last outcome shows to be an outlier. In a sparse view a single sign has to
-    /// do: the next own request to the server may be minutes away.
+    /// Ejects a server that the last outcome shows to be an outlier. In a sparse view a single sign is
+    /// enough: the next own request to the server may be minutes away.
     pub(crate) fn eject_outlier(&mut self, index: ServerIndex, outcome: Outcome, ratio: f64) {
         let ServerLatency { ratio: smoothed_ratio, samples, .. } = self.registry[index].latency;
         let failures = self.registry[index].health.failures;
@@ -80,7 +81,7 @@
         }
     }
 
-    /// Takes a server out of the draw and out of memory, unless too many are out already. In a sparse view it
+    /// Excludes a server from selection and memory, unless too many are ejected already. In a sparse view it
     /// comes under suspicion instead.
     pub(crate) fn eject(&mut self, index: ServerIndex, reason: EjectionReason) {
         if self.is_sparse() {
@@ -95,7 +96,9 @@
         server.health.ejection = Some(Ejection::new(self.now));
         self.memory.forget(index);
         let (id, ratio, median) = (server.endpoint.server.0, server.latency.ratio, self.latency.median_ratio);
-        let text = format!("server {id} {reason}: pace {ratio:.2} of median {median:.2}");
+        let text = format!(
+            "server {id} ejected ({reason}): latency ratio {ratio:.2} of a fleet median of {median:.2}"
+        );
         self.actions.push(Action::Log { text });
     }
 }
--- a/crates/balancer-core/src/policy/overdue.rs
+++ b/crates/balancer-core/src/policy/overdue.rs
@@ -58,7 +58,7 @@
         (is_overdue && (is_server_silent || is_server_quick)).then_some(found)
     }
 
-    /// A slow answer is known to be slow before it comes; waiting for it lets a jam grow.
+    /// A slow answer is known to be slow before it comes; waiting for it lets an overload grow.
     fn count_slow_attempts(&mut self) {
         let (now, classes) = (self.now, &self.settings.classes);
         let mut slow_attempts = 0;
--- a/crates/balancer-core/src/policy/retry.rs
+++ b/crates/balancer-core/src/policy/retry.rs
@@ -8,7 +8,7 @@
 const BUDGET_RATIO: f64 = 0.1;
 const MAX_BUDGET: f64 = 10.0;
 /// In a sparse view the burst is one: many balancers that each save up more would all spend it in the same
-/// jam.
+/// overload.
 const MAX_SPARSE_BUDGET: f64 = 1.0;
 
 /// The servers that an attempt may go to.
@@ -27,7 +27,7 @@
     pub scope: RetryScope,
     /// The last byte of a retry must be written by then.
     pub write_by: Option<Time>,
-    /// The request may be rejected, which tells its client that a retry is harmless.
+    /// The request may be rejected, which promises its client that a retry is harmless.
     pub may_reject: bool,
 }
 
--- a/crates/balancer-core/src/policy/routing.rs
+++ b/crates/balancer-core/src/policy/routing.rs
@@ -97,8 +97,8 @@
             }
         }
         for server in self.memory.servers().to_vec().into_iter().chain(routing.key_server) {
-            // It passed slow start to be remembered; again at each choice, and it would get the square of its
-            // part.
+            // It passed slow start when it was remembered; checked again at each choice, it would get the
+            // square of its share.
             let has_passed = !self.polls_loads() && self.memory.contains(server);
             if self.is_open_afresh(server, routing) && (has_passed || self.passes_slow_start(server)) {
                 candidates.push(server);
--- a/crates/balancer-core/src/policy/selection.rs
+++ b/crates/balancer-core/src/policy/selection.rs
@@ -6,7 +6,8 @@
 use crate::{Balancer, EndpointWeights};
 
 /// A server in another zone, or a new connection, weighs this much more for each 1% of a request that it is
-/// priced at; crossing never as much as one request more at zero, or the price alone would fill a zone.
+/// priced at; crossing zones never counts as much as one more request at an idle server, or the cost alone
+/// would fill a zone.
 const WEIGHT_PER_PERCENT: f64 = 0.25;
 const MAX_CROSS_ZONE_WEIGHT: f64 = 1.8;
 /// The work of a handshake, in requests: operators count 25 to 40 ms against 87 to 180 ms.
@@ -14,12 +15,12 @@
 /// A server wins the draw to be remembered and again at each choice from memory; what is drawn settles in
 /// proportion to its estimated capacity if this power of it weighs the draw.
 const CAPACITY_POWER: f64 = 0.6;
-/// Estimated capacity falls with this power of latency: by the plain latency slow machines time out while
+/// Estimated capacity falls with this power of latency: with the first power slow machines time out while
 /// fast ones idle.
 const LATENCY_POWER: i32 = 3;
 /// A load report decays over about this many milliseconds.
 const REPORT_DECAY_MS: f64 = 2000.0;
-/// A key's last server weighs this much: it wins unless it holds clearly more.
+/// The load of a routing key's last server is multiplied by this: it wins unless it is clearly more loaded.
 const KEY_SERVER_WEIGHT: f64 = 0.7;
 /// A machine's slowness counts with this power, times the request's work weight.
 const SLOWNESS_POWER: f64 = 0.5;
@@ -67,7 +68,7 @@
         let zone_weight = if is_local { 1.0 } else { crossing.clamp(1.0, MAX_CROSS_ZONE_WEIGHT) };
         let key_weight = if routing.key_server == Some(candidate) { KEY_SERVER_WEIGHT } else { 1.0 };
         let slowness = server.latency.relative_slowness * key_weight;
-        // An ejected server drawn for its probe goes first: by its own record it would never be tried.
+        // An ejected server drawn for its probe goes first: by its load it would never be chosen.
         let is_ejected = server.health.ejection.is_some();
         let requests = if is_ejected { 0.0 } else { f64::from(server.in_flight) + 1.0 };
         let load = (requests * zone_weight * slowness.powf(SLOWNESS_POWER * routing.work_weight)).ln();
@@ -79,8 +80,8 @@
         }
     }
 
-    /// In a sparse view: plain counts, and the draw is weighed by what each candidate can bear and, where it
-    /// saves a handshake, by the price of that.
+    /// In a sparse view: plain counts, and the draw is weighted by the estimated capacity of each candidate
+    /// and, where an open connection saves a handshake, by the cost of that.
     fn sparse_rank(&self, candidate: ServerIndex, draw: f64) -> CandidateRank {
         let server = &self.registry[candidate];
         let costs = &self.settings.costs;
@@ -93,7 +94,7 @@
         CandidateRank { own_load: i64::from(server.in_flight), reported_load, tie_break }
     }
 
-    /// What a server can bear next to others: its listed size over its expected load and latency.
+    /// The capacity of a server relative to others: its listed size over its expected load and latency.
     fn estimated_capacity(&self, index: ServerIndex) -> f64 {
         let server = &self.registry[index];
         let weight = server.endpoint.weight;
--- a/crates/balancer-core/src/policy/shedding.rs
+++ b/crates/balancer-core/src/policy/shedding.rs
@@ -1,8 +1,8 @@
-//! Load shedding: which classes and tenants give way first when not everything can be served.
+//! Load shedding: which classes and tenants are rejected first when not everything can be served.
 
 use crate::{Balancer, Request, ValueBasis};
 
-/// A tenant is over its share at this multiple of it; usage wobbles without anyone flooding.
+/// A tenant is over its share at this multiple of it; usage fluctuates without any abuse.
 const SHARE_SLACK: f64 = 1.4;
 
 /// Whether a request is shed before others or after them.
@@ -13,9 +13,8 @@
 }
 
 impl Balancer {
-    /// Whether a request is beyond its tenant's share. Of a tenant that takes more than that of this
-    /// balancer's traffic, the excess is. No balancer sees the whole; its own traffic is the sample that it
-    /// has.
+    /// Whether a request is beyond its tenant's share. If a tenant takes more than its share of this
+    /// balancer's traffic, the excess is. No balancer sees all traffic; its own is the sample that it has.
     pub(crate) fn is_over_share(&mut self, request: &Request) -> bool {
         let Some(id) = request.tenant else { return false };
         let Some(tenant) = self.settings.tenants.get(id.0) else { return false };
--- a/crates/balancer-core/src/policy/suspicion.rs
+++ b/crates/balancer-core/src/policy/suspicion.rs
@@ -1,7 +1,7 @@
 //! Suspicion, the form that ejection takes in a sparse view. A balancer that meets a server once in many
 //! seconds cannot probe it: the probes of all balancers together would be a load of their own. It sends a
-//! suspected server a small part of its share for a while, and gossips to some peers, for each of them would
-//! else lose a request of its own to find out.
+//! suspected server a small part of its share for a while, and gossips to some peers, because each of them
+//! would otherwise lose a request of its own to find out.
 
 use crate::state::{Budget, ServerIndex};
 use crate::{Action, Balancer, PeerId, ServerId, Span, ZoneId};
@@ -15,7 +15,7 @@
 /// how long the link is then taken to be cut.
 const MAX_ZONE_FAILURES: u32 = 2;
 const ZONE_SUSPICION: Span = Span(5_000_000);
-/// Peers that are told of one suspected server at most.
+/// Most peers that are notified of one suspected server.
 const MAX_GOSSIP_PEERS: u32 = 64;
 /// Bytes of gossip that each request earns, and the most that can be saved up.
 const GOSSIP_BYTES_PER_REQUEST: f64 = 25.0;
@@ -45,7 +45,7 @@
         }
     }
 
-    /// Puts a server under suspicion and tells some peers.
+    /// Puts a server under suspicion and notifies some peers.
     pub(crate) fn suspect(&mut self, index: ServerIndex) {
         let server = &mut self.registry[index];
         server.health.suspected_until = self.now + OWN_SUSPICION;
--- a/crates/balancer-core/src/policy/wait_queue.rs
+++ b/crates/balancer-core/src/policy/wait_queue.rs
@@ -6,7 +6,7 @@
 const MAX_QUEUED: usize = 500;
 
 impl Balancer {
-    /// Keeps a request for later, or finishes it if the queue is full.
+    /// Queues a request, or finishes it if the queue is full.
     pub(crate) fn enqueue(&mut self, id: RequestId) {
         if self.queue.len() >= MAX_QUEUED {
             return self.finish(id);
@@ -16,7 +16,7 @@
     }
 
     /// Sends what is queued and can go, newest first within each rank, and gives up what can no longer be
-    /// answered in time. First come first served would let every request wait until it is nearly too late,
+    /// answered in time. First come, first served would let every request wait until it is nearly too late,
     /// and then be late.
     pub(crate) fn drain_queue(&mut self) {
         if self.queue.is_empty() {
--- a/crates/balancer-core/src/settings.rs
+++ b/crates/balancer-core/src/settings.rs
@@ -1,4 +1,4 @@
-//! What a balancer is told once, at its start.
+//! The settings of a balancer, fixed at its start.
 
 use crate::ids::ZoneId;
 use crate::time::Span;
@@ -174,7 +174,7 @@
     pub late_failure: f64,
 }
 
-/// All that a balancer is told at its start.
+/// All settings of a balancer.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
     /// Number of balancers of this service, this one included.
@@ -219,7 +219,7 @@
     pub sends_retry_after: bool,
     /// The longest `retry_after` that a client heeds.
     pub max_retry_after: Span,
-    /// Nothing new may go to a draining or removed server this long after the balancer was told.
+    /// Nothing new may go to a draining or removed server this long after the balancer was notified.
     pub drain_grace: Span,
     /// A server starts with this share of its capacity or more.
     pub initial_capacity: f64,
--- a/crates/balancer-core/src/state/latency.rs
+++ b/crates/balancer-core/src/state/latency.rs
@@ -56,7 +56,7 @@
 /// The latency of one request class, over all servers.
 #[derive(Clone, Copy)]
 pub struct ClassLatency {
-    /// Leans to the quick answers, so that congestion does not pass for the usual state.
+    /// Leans to the quick answers, so that congestion is not mistaken for the usual state.
     pub typical_ratio: f64,
     /// As it is now, slow answers and all.
     pub current_ratio: f64,
@@ -108,7 +108,7 @@
         update_recent_average(&mut class.current_ratio, ratio);
     }
 
-    /// Takes in any sample that tells of load.
+    /// Takes in any sample that shows load.
     pub fn record_sample(&mut self, kind: MachineKindId, ratio: f64, server: &mut ServerLatency) {
         let initial = KindLatency { ratio: self.median_ratio, samples: 1.0 };
         let kind = self.machine_kinds.entry(kind).or_insert(initial);
--- a/crates/balancer-core/src/state/memory.rs
+++ b/crates/balancer-core/src/state/memory.rs
@@ -4,7 +4,7 @@
 use crate::RoutingKey;
 use std::collections::BTreeMap;
 
-/// Routing keys remembered; past that all are forgotten, which costs each of them one cold run.
+/// Routing keys remembered; beyond that all are forgotten, which costs each of them one uncached run.
 const MAX_KEYS: usize = 10_000;
 
 /// The remembered servers, most recently chosen first, and the server that each routing key was last sent to.
--- a/crates/balancer-core/src/state/registry.rs
+++ b/crates/balancer-core/src/state/registry.rs
@@ -15,7 +15,7 @@
 /// How much of the load of a server this balancer sees.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FleetView {
-    /// It meets each server often, so its own counts tell servers apart.
+    /// It meets each server often, so its own counts distinguish servers.
     Dense,
     /// Balancers outnumber servers: most of a server's load is other balancers', and own counts are nearly
     /// all alike.
@@ -92,15 +92,12 @@
 
     fn add(&mut self, server: ServerState) {
         let id = server.endpoint.server;
-        let index = match self.free.pop() {
-            Some(index) => {
-                self[index] = server;
-                index
-            }
-            None => {
-                self.servers.push(server);
-                ServerIndex(self.servers.len() - 1)
-            }
+        let index = if let Some(index) = self.free.pop() {
+            self[index] = server;
+            index
+        } else {
+            self.servers.push(server);
+            ServerIndex(self.servers.len() - 1)
         };
         self.by_id.insert(id, index);
     }
--- a/crates/balancer-core/src/state/server.rs
+++ b/crates/balancer-core/src/state/server.rs
@@ -64,7 +64,7 @@
         ServerHealth { failures: 0, last_response: now, ejection: None, suspected_until: now }
     }
 
-    /// Takes in how an attempt ended. A full server is no sick one: it is only sent less.
+    /// Takes in how an attempt ended. A full server is not unhealthy: it is only sent less.
     pub fn record(&mut self, now: Time, outcome: Outcome, is_late: bool) {
         match outcome {
             Outcome::Success => self.failures = 0,
@@ -96,7 +96,7 @@
             EjectionReason::Slow => "slow",
             EjectionReason::Failing => "failing",
             EjectionReason::Silent => "silent",
-            EjectionReason::FailedHealthCheck => "silent to probes",
+            EjectionReason::FailedHealthCheck => "failed health check",
         })
     }
 }
--- a/crates/balancer-core/src/state/smoothing.rs
+++ b/crates/balancer-core/src/state/smoothing.rs
@@ -13,7 +13,7 @@
     *average += RECENT_GAIN * (value - *average);
 }
 
-/// Moves what is typical towards a new value, slower and less so upwards: congestion must not pass for
+/// Moves what is typical towards a new value, slower and less so upwards: congestion must not be mistaken for
 /// typical.
 pub fn update_typical(typical: &mut f64, value: f64) {
     let gain = if value < *typical { TYPICAL_GAIN } else { TYPICAL_GAIN * TYPICAL_RISE_PART };
--- a/crates/balancer-core/src/state/timeout.rs
+++ b/crates/balancer-core/src/state/timeout.rs
@@ -2,7 +2,7 @@
 
 use crate::Span;
 
-/// Votes that a usual timeout can gather; a new habit of the clients is believed after as many.
+/// Votes that a usual timeout can gather; a change of the clients' timeouts is accepted after as many.
 const MAX_VOTES: u32 = 50;
 
 /// The timeout that most requests of a class come with, that of a first try, and the votes for it.
--- a/crates/balancer-core/src/time.rs
+++ b/crates/balancer-core/src/time.rs
@@ -42,6 +42,7 @@
     }
 
     /// This length minus `other`, never below zero.
+    #[must_use]
     pub fn saturating_sub(self, other: Span) -> Span {
         Span(self.0.saturating_sub(other.0))
     }
