--- a/crates/balancer-core/src/balancer.rs
+++ b/crates/balancer-core/src/balancer.rs
@@ -2,7 +2,7 @@
 //! state that it rests on live in a module of their own.
 
 use crate::policy::{
-    new_gossip_budget, new_retry_budget, AdmissionControl, ShedOrder, WatchRetry, POLL_TIMER,
+    AdmissionControl, ShedOrder, WatchRetry, MAX_GOSSIP_BYTES, MAX_RETRY_BUDGET, POLL_TIMER,
 };
 use crate::state::{
     ActiveRequest, AttemptKey, Budget, EjectionReason, EndedAttempt, FleetLatency, FleetView,
@@ -78,8 +78,8 @@
             admission: AdmissionControl::new(),
             class_order: vec![ShedOrder::First; class_count],
             usual_timeouts: vec![UsualTimeout::default(); class_count],
-            retry_budget: new_retry_budget(),
-            gossip_budget: new_gossip_budget(),
+            retry_budget: Budget::new(MAX_RETRY_BUDGET),
+            gossip_budget: Budget::new(MAX_GOSSIP_BYTES),
             zone_links: ZoneLinks::default(),
             watch_retry: WatchRetry::new(),
             next_tick: Time(0),
--- a/crates/balancer-core/src/policy/admission.rs
+++ b/crates/balancer-core/src/policy/admission.rs
@@ -38,8 +38,7 @@
 
     /// Takes in the capacity of the serving fleet, in warm servers. In a sparse view the probability goes
     /// with it: the endpoint list shows a fleet that shrinks before any server is slow, and servers that are
-    /// slow stay slow; a fleet that warms up can handle more. An empty list says nothing about the fleet that
-    /// follows.
+    /// slow stay slow; a fleet that warms up can handle more. An empty list says nothing about the next one.
     pub fn follow_capacity(&mut self, capacity: f64, view: FleetView) {
         if capacity <= 0.0 {
             return;
@@ -51,8 +50,7 @@
         self.fleet_capacity = capacity;
     }
 
-    /// The probability for requests of this rank: classes that are shed first get less, and the others get
-    /// the rest.
+    /// The probability for requests of this rank: classes that are shed first get less, the others the rest.
     fn probability_for(&self, order: ShedOrder, shed_first_share: f64) -> f64 {
         let floor = MIN_CLASS_PART * self.probability;
         let first = floor.max((self.probability - (1.0 - shed_first_share)) / shed_first_share);
--- a/crates/balancer-core/src/policy/concurrency.rs
+++ b/crates/balancer-core/src/policy/concurrency.rs
@@ -11,8 +11,7 @@
 const LATE_CUT: f64 = 0.85;
 /// A limit in full use grows by this much in the time that it takes to use it once.
 const GROWTH: f64 = 0.1;
-/// It shrinks by this much of its overshoot an answer, which counts up to a bound; 0.04 and 0.08 cost more
-/// than they save.
+/// It shrinks by this part of its bounded overshoot an answer; 0.04 and 0.08 cost more than they save.
 const SHRINK: f64 = 0.02;
 const MAX_OVERSHOOT: f64 = 2.0;
 
--- a/crates/balancer-core/src/policy/deadline.rs
+++ b/crates/balancer-core/src/policy/deadline.rs
@@ -5,12 +5,10 @@
 
 /// A request is given up when not even this part of its class's usual latency is left.
 const MIN_LATENCY_PART: f64 = 0.7;
-/// A queued request must have this multiple of its class's present latency left, or this share of its
-/// objective.
+/// A queued request needs this multiple of its class's present latency, or this share of its objective.
 const QUEUE_MARGIN: f64 = 2.0;
 const MAX_QUEUE_MARGIN: f64 = 0.7;
-/// A rejected client is advised to retry after this share of the objective, which leaves time for an answer
-/// within it.
+/// A rejected client is advised to retry after this share of the objective, in time for an answer.
 const RETRY_AFTER_SHARE: f64 = 0.25;
 
 impl Balancer {
--- a/crates/balancer-core/src/policy/feedback.rs
+++ b/crates/balancer-core/src/policy/feedback.rs
@@ -34,8 +34,7 @@
     }
 
     /// The latency as a share of the class's objective. An attempt that hangs while others are answered in
-    /// time does not show load: its connection is lost. A cancelled attempt is not stopped: its work may
-    /// still be queued at the server.
+    /// time shows no load: its connection is lost. A cancelled one may still be queued at the server.
     fn latency_ratio(&self, attempt: &InFlightAttempt, ended: &EndedAttempt) -> f64 {
         let objective = self.settings.classes[attempt.class].latency_objective;
         let server = &self.registry[attempt.server];
--- a/crates/balancer-core/src/policy/load_polling.rs
+++ b/crates/balancer-core/src/policy/load_polling.rs
@@ -6,16 +6,14 @@
 
 /// The timer that ends the wait for polled loads.
 pub const POLL_TIMER: TimerId = TimerId(1);
-/// Candidates are polled where the health checks of one request cost this much at most, and for this share of
-/// the latency objective.
+/// Candidates are polled where that costs a request this much at most, for this share of its objective.
 const MAX_POLL_COST: f64 = 0.01;
 const POLL_TIME_SHARE: f64 = 0.05;
 /// Reported loads from this value on are not plausible.
 const MAX_LOAD: f64 = 1e4;
 
 impl Balancer {
-    /// Takes in a load report. Values out of range are ignored: a negative load must not make a server look
-    /// empty.
+    /// Takes in a load report. Other values are ignored: a negative load must not make a server look empty.
     pub(crate) fn read_load_report(&mut self, server: ServerIndex, report: &LoadReport) {
         let fields = &self.settings.load_report_fields;
         let position = |field| fields.iter().position(|known| *known == field);
@@ -38,8 +36,7 @@
             && self.is_sparse()
     }
 
-    /// Polls the candidates; the choice waits until all have answered, for a small part of the objective at
-    /// most.
+    /// Polls the candidates; the choice waits until all have answered, for a small part of the objective.
     pub(crate) fn poll_loads(&mut self, request: RequestId, mut candidates: Vec<ServerIndex>) {
         candidates.sort_unstable();
         candidates.dedup();
--- a/crates/balancer-core/src/policy/outlier.rs
+++ b/crates/balancer-core/src/policy/outlier.rs
@@ -1,5 +1,4 @@
-//! Outlier detection: servers that fail or are slow are ejected, and probed with single requests until they
-//! are well again.
+//! Outlier detection: failing or slow servers are ejected, and probed with single requests until they recover.
 
 use super::concurrency::TARGET_RATIO;
 use super::feedback::LATE_RATIO;
@@ -54,8 +53,7 @@
 }
 
 impl Balancer {
-    /// Judges the probe of an ejected server: a good answer ends the ejection, any other lengthens the
-    /// interval.
+    /// Judges a probe: a good answer ends the ejection, any other lengthens the interval.
     pub(crate) fn finish_probe(&mut self, server: ServerIndex, outcome: Outcome, ratio: f64) {
         let limit = OUTLIER_FACTOR * self.latency.median_ratio.max(MIN_PROBE_MEDIAN);
         let server = &mut self.registry[server];
--- a/crates/balancer-core/src/policy/overdue.rs
+++ b/crates/balancer-core/src/policy/overdue.rs
@@ -1,5 +1,4 @@
-//! Overdue attempts: finding servers that have fallen silent, and retrying elsewhere what can still be in
-//! time.
+//! Overdue attempts: finding silent servers, and retrying elsewhere what can still be in time.
 
 use super::admission::SLOW_RATIO;
 use super::concurrency::TARGET_RATIO;
@@ -8,8 +7,7 @@
 use crate::{Action, Balancer, Effect};
 
 /// An attempt is overdue at this multiple of the usual latency of its class, and not before this share of its
-/// objective; of the whole objective if it is alone on its server, where it may well be a costly request and
-/// no hang.
+/// objective; alone on its server, where it may well be a costly request, not before the whole objective.
 const OVERDUE_FACTOR: f64 = 4.0;
 const MIN_OVERDUE_SHARE: f64 = 0.6;
 const MIN_OVERDUE_SHARE_ALONE: f64 = 1.0;
@@ -23,8 +21,7 @@
 }
 
 impl Balancer {
-    /// Ejects the servers that are silent, and cancels the overdue attempts whose request can be retried in
-    /// time.
+    /// Ejects the silent servers, and cancels the overdue attempts whose request can be retried in time.
     pub(crate) fn handle_overdue_attempts(&mut self) {
         let attempts = self.in_flight.iter();
         let overdue = attempts.filter_map(|(&key, attempt)| self.overdue_attempt(key, attempt));
@@ -72,8 +69,7 @@
         }
     }
 
-    /// Whether the attempt is its request's last and the request may be retried, is paid for and can be in
-    /// time.
+    /// Whether the attempt is its request's last, and a retry is permitted, paid for and can be in time.
     fn can_retry_in_time(&self, key: AttemptKey) -> bool {
         let Some(active) = self.requests.get(&key.request) else { return false };
         let is_repeatable = self.settings.classes[active.class()].effect != Effect::AtMostOnce;
--- a/crates/balancer-core/src/policy/retry.rs
+++ b/crates/balancer-core/src/policy/retry.rs
@@ -1,14 +1,13 @@
 //! Retries: what the rules permit for a request, and the budget that retries are paid from.
 
-use crate::state::{ActiveRequest, AttemptState, Budget};
+use crate::state::{ActiveRequest, AttemptState};
 use crate::{Balancer, CellId, DedupScope, Effect, Settings, Time, ZoneId};
 
 /// Each request earns this much of a retry, saved up to the burst.
 const RETRY_PRICE: f64 = 1.0;
 const BUDGET_RATIO: f64 = 0.1;
-const MAX_BUDGET: f64 = 10.0;
-/// In a sparse view the burst is one: many balancers that each save up more would all spend it in the same
-/// overload.
+pub const MAX_RETRY_BUDGET: f64 = 10.0;
+/// In a sparse view the burst is one: many balancers would all spend more in the same overload.
 const MAX_SPARSE_BUDGET: f64 = 1.0;
 
 /// The servers that an attempt may go to.
@@ -32,8 +31,7 @@
 }
 
 impl AttemptPermission {
-    /// What the rules permit now. The whole of "no effect happens twice" (WIRE page, section 2, rule 2) is
-    /// here.
+    /// What the rules permit now: all of "no duplicated effect" (WIRE page, section 2, rule 2) is here.
     pub fn of(settings: &Settings, active: &ActiveRequest, now: Time) -> Self {
         let first = active.attempts.iter().find(|attempt| attempt.state != AttemptState::DidNotRun);
         let (scope, write_by, may_reject) = match (first, settings.classes[active.class()].effect) {
@@ -60,15 +58,10 @@
     }
 }
 
-/// A full budget of retries of requests that may have run.
-pub fn new_retry_budget() -> Budget {
-    Budget::new(MAX_BUDGET)
-}
-
 impl Balancer {
     /// Earns the part of a retry that one request is worth.
     pub(crate) fn earn_retry(&mut self) {
-        let burst = if self.is_sparse() { MAX_SPARSE_BUDGET } else { MAX_BUDGET };
+        let burst = if self.is_sparse() { MAX_SPARSE_BUDGET } else { MAX_RETRY_BUDGET };
         self.retry_budget.earn(BUDGET_RATIO, burst);
     }
 
--- a/crates/balancer-core/src/policy/routing.rs
+++ b/crates/balancer-core/src/policy/routing.rs
@@ -28,8 +28,7 @@
     pub work: f64,
     /// How much its work weighs a machine's slowness.
     pub work_weight: f64,
-    /// Its routing key, where servers serve a known one with less work, and the server that it was last sent
-    /// to.
+    /// Its routing key, where servers serve a known one with less work, and the last server of that key.
     pub key: Option<RoutingKey>,
     pub key_server: Option<ServerIndex>,
     /// Servers that its attempts so far were sent to.
@@ -37,8 +36,7 @@
 }
 
 impl Balancer {
-    /// Sends a request to the lightest candidate, or polls the candidates first. False if no server is open
-    /// to it.
+    /// Sends a request to the lightest candidate, or polls the candidates first. False if there is none.
     pub(crate) fn dispatch(&mut self, id: RequestId) -> bool {
         let Some(active) = self.requests.get(&id) else { return true };
         let routing = self.routing_request(active);
@@ -97,8 +95,7 @@
             }
         }
         for server in self.memory.servers().to_vec().into_iter().chain(routing.key_server) {
-            // It passed slow start when it was remembered; checked again at each choice, it would get the
-            // square of its share.
+            // It passed slow start to be remembered; checked again, it would get the square of its share.
             let has_passed = !self.polls_loads() && self.memory.contains(server);
             if self.is_open_afresh(server, routing) && (has_passed || self.passes_slow_start(server)) {
                 candidates.push(server);
--- a/crates/balancer-core/src/policy/selection.rs
+++ b/crates/balancer-core/src/policy/selection.rs
@@ -6,8 +6,7 @@
 use crate::{Balancer, EndpointWeights};
 
 /// A server in another zone, or a new connection, weighs this much more for each 1% of a request that it is
-/// priced at; crossing zones never counts as much as one more request at an idle server, or the cost alone
-/// would fill a zone.
+/// priced at; crossing zones less than one more request at an idle server, or the cost would fill a zone.
 const WEIGHT_PER_PERCENT: f64 = 0.25;
 const MAX_CROSS_ZONE_WEIGHT: f64 = 1.8;
 /// The work of a handshake, in requests: operators count 25 to 40 ms against 87 to 180 ms.
@@ -15,8 +14,7 @@
 /// A server wins the draw to be remembered and again at each choice from memory; what is drawn settles in
 /// proportion to its estimated capacity if this power of it weighs the draw.
 const CAPACITY_POWER: f64 = 0.6;
-/// Estimated capacity falls with this power of latency: with the first power slow machines time out while
-/// fast ones idle.
+/// Estimated capacity falls with this power of latency; with 1 slow machines time out while fast ones idle.
 const LATENCY_POWER: i32 = 3;
 /// A load report decays over about this many milliseconds.
 const REPORT_DECAY_MS: f64 = 2000.0;
--- a/crates/balancer-core/src/policy/shedding.rs
+++ b/crates/balancer-core/src/policy/shedding.rs
@@ -31,9 +31,8 @@
         first.sum::<f64>() / self.traffic.by_class.iter().sum::<f64>()
     }
 
-    /// Decides anew which classes are shed first. Shedding a set of classes costs their value and, once, the
-    /// part of the goal that hangs on the worst class; the set that frees most work for its cost is shed
-    /// first.
+    /// Decides which classes are shed first. Shedding a set of classes costs their value and, once, the part
+    /// of the goal that hangs on the worst class; the set that frees most work for its cost is shed first.
     pub(crate) fn rank_classes(&mut self) {
         let (settings, traffic) = (&self.settings, &self.traffic.by_class);
         let work = |class: usize| traffic[class] * self.latency.typical_latency_ms(settings, class);
--- a/crates/balancer-core/src/policy/slow_start.rs
+++ b/crates/balancer-core/src/policy/slow_start.rs
@@ -1,6 +1,5 @@
 //! Slow start: a server that has just started is sent no more than it surely has capacity for, so that the
-//! sum of all balancers cannot overload it. Balancers need no coordination for that: each keeps to its own
-//! part.
+//! sum of all balancers cannot overload it. Balancers need no coordination: each keeps to its own part.
 
 use super::routing::MAX_CANDIDATES;
 use crate::state::{ServerIndex, ServerState, WarmUp};
@@ -38,8 +37,7 @@
     /// In a sparse view, a server that is warming up, empty and remembered by all, would be overloaded by the
     /// sum of all balancers. Each lets it be a candidate only as often as the part of a warm server's share
     /// that it may get: what it surely has capacity for, and more while servers that are warming up answer
-    /// sooner than warm ones. Where being empty wins the choice, a candidate counts for as many as it wins
-    /// over.
+    /// sooner than warm ones. Where an empty server wins the choice, it counts for all that it wins over.
     pub(crate) fn passes_slow_start(&mut self, index: ServerIndex) -> bool {
         let max_factor = (SAFE_OVERLOAD_PART * self.settings.overload_factor).max(1.0);
         let factor = self.warm_up.relative_speed().clamp(1.0, max_factor);
--- a/crates/balancer-core/src/policy/wait_queue.rs
+++ b/crates/balancer-core/src/policy/wait_queue.rs
@@ -16,8 +16,7 @@
     }
 
     /// Sends what is queued and can go, newest first within each rank, and gives up what can no longer be
-    /// answered in time. First come, first served would let every request wait until it is nearly too late,
-    /// and then be late.
+    /// answered in time. Oldest first would let every request wait until it is nearly too late.
     pub(crate) fn drain_queue(&mut self) {
         if self.queue.is_empty() {
             return;
