Adapter: one module a job, typed errors, the field's names

Rust names are those of balancer_core, serde renames give the wire's. Server numbers come from ServerNames, hex from the hex crate. An action for a server that the instance cannot know is reported as BUG, like one for a request; it used to panic.

--- /dev/null
+++ b/crates/simulator-adapter/src/decode.rs
@@ -0,0 +1,138 @@
+//! Decoding: an event of the wire becomes one in the balancer's terms.
+
+use crate::endpoint_lists::EndpointLists;
+use crate::error::EventError;
+use crate::instance::InstanceNames;
+use crate::wire::{
+    WireAttemptEnded, WireEndpointUpdate, WireEvent, WireGossip, WireHealthChecked, WireOutcome, WireRequest,
+    WireUpdateForm, FLAG_CLIENT_RETRY, FLAG_VALID_COST_HINT,
+};
+use balancer_core::{
+    AttemptNumber, ClassId, Endpoint, EndpointUpdate, Event, Outcome, PeerId, Request, RoutingKey, Span,
+    TenantId, TimerId,
+};
+use balancer_settings::hash_name;
+
+/// The event for the balancer; `None` if it is about a request that has long been over.
+///
+/// # Errors
+///
+/// If the event refers to what the instance cannot know, or has an unreadable payload.
+pub fn decode(
+    event: WireEvent<'_>,
+    names: &mut InstanceNames,
+    lists: &EndpointLists,
+) -> Result<Option<Event>, EventError> {
+    let event = match event {
+        WireEvent::EndpointUpdate(update) => {
+            Some(Event::Endpoints(decode_endpoint_update(&update, names, lists)?))
+        }
+        WireEvent::Request(request) => Some(Event::Request(decode_request(&request, names)?)),
+        WireEvent::FirstByte(first_byte) => {
+            let attempt = AttemptNumber(first_byte.attempt);
+            let request = names.requests.find(&first_byte.request_id);
+            request.map(|request| Event::FirstByte { request, attempt })
+        }
+        WireEvent::AttemptEnded(ended) => decode_attempt_ended(ended, names),
+        WireEvent::ClientDisconnected { request_id } => {
+            let request = names.requests.disconnect(&request_id);
+            request.map(|request| Event::ClientDisconnected { request })
+        }
+        WireEvent::TimerDue { timer } => Some(Event::TimerDue(TimerId(timer))),
+        WireEvent::HealthChecked(checked) => Some(decode_health_checked(checked, names)?),
+        WireEvent::Gossip(gossip) => Some(decode_gossip(&gossip)?),
+        // These are for the host; a balancer is not told of them.
+        WireEvent::Attach(_) | WireEvent::Retire {} | WireEvent::EndpointList(_) => None,
+    };
+    Ok(event)
+}
+
+fn decode_endpoint_update(
+    update: &WireEndpointUpdate,
+    names: &mut InstanceNames,
+    lists: &EndpointLists,
+) -> Result<EndpointUpdate, EventError> {
+    let wrap = match update.form {
+        WireUpdateForm::Failed => return Ok(EndpointUpdate::Failed),
+        WireUpdateForm::Changes => EndpointUpdate::Changes,
+        WireUpdateForm::Complete => EndpointUpdate::Complete,
+        WireUpdateForm::Cached => EndpointUpdate::Cached,
+    };
+    let list_number = update.list_number.ok_or(EventError::ListNotNamed)?;
+    let list = lists.get(list_number).ok_or(EventError::UnknownList { list_number })?;
+    let endpoints: Vec<Endpoint> =
+        list.iter().map(|listed| listed.to_endpoint(names.servers.intern(&listed.name))).collect();
+    Ok(wrap(endpoints))
+}
+
+fn decode_request(request: &WireRequest<'_>, names: &mut InstanceNames) -> Result<Request, EventError> {
+    let duplicate = || EventError::DuplicateRequest { request_id: request.request_id.to_string() };
+    let id = names.requests.insert(&request.request_id).ok_or_else(duplicate)?;
+    Ok(Request {
+        id,
+        class: ClassId(request.class),
+        tenant: request.tenant.map(TenantId),
+        routing_key: request.routing_key.as_deref().map(|key| RoutingKey(hash_name(key))),
+        cost_hint: cost_hint(request),
+        is_client_retry: has_flag(request, FLAG_CLIENT_RETRY),
+        time_left: Span::from_ms(request.time_left_ms),
+    })
+}
+
+fn cost_hint(request: &WireRequest<'_>) -> Option<Span> {
+    if !has_flag(request, FLAG_VALID_COST_HINT) {
+        return None;
+    }
+    request.cost_hint_ms.filter(|ms| ms.is_finite() && *ms > 0.0).map(Span::from_ms)
+}
+
+fn has_flag(request: &WireRequest<'_>, flag: u64) -> bool {
+    request.flags.unwrap_or(0) & flag != 0
+}
+
+fn decode_attempt_ended(ended: WireAttemptEnded<'_>, names: &mut InstanceNames) -> Option<Event> {
+    let request = names.requests.end_attempt(&ended.request_id, ended.is_request_finished)?;
+    Some(Event::AttemptEnded {
+        request,
+        attempt: AttemptNumber(ended.attempt),
+        outcome: Outcome::from(ended.outcome),
+        elapsed: Span::from_ms(ended.elapsed_ms),
+        load_report: ended.load_report,
+        is_request_finished: ended.is_request_finished,
+    })
+}
+
+fn decode_health_checked(checked: WireHealthChecked<'_>, names: &InstanceNames) -> Result<Event, EventError> {
+    let unknown = || EventError::UnknownServer { server: checked.server.to_string() };
+    let server = names.servers.find(&checked.server).ok_or_else(unknown)?;
+    Ok(Event::HealthChecked {
+        server,
+        outcome: Outcome::from(checked.outcome),
+        elapsed: Span::from_ms(checked.elapsed_ms),
+        load_report: checked.load_report,
+    })
+}
+
+fn decode_gossip(gossip: &WireGossip<'_>) -> Result<Event, EventError> {
+    let payload = hex::decode(gossip.payload.as_bytes())
+        .map_err(|_| EventError::InvalidPayload { payload: gossip.payload.to_string() })?;
+    Ok(Event::Gossip { from: PeerId(gossip.sender), payload })
+}
+
+impl From<WireOutcome> for Outcome {
+    fn from(wire: WireOutcome) -> Self {
+        match wire {
+            WireOutcome::Success => Outcome::Success,
+            WireOutcome::ServerError => Outcome::ServerError,
+            WireOutcome::Rejected => Outcome::Rejected,
+            WireOutcome::TimedOut => Outcome::TimedOut,
+            WireOutcome::ConnectFailed => Outcome::ConnectFailed,
+            WireOutcome::ConnectionReset => Outcome::ConnectionReset,
+            WireOutcome::Cancelled => Outcome::Cancelled,
+            WireOutcome::NotSent => Outcome::NotSent,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/simulator-adapter/src/decode/tests.rs
@@ -0,0 +1,87 @@
+//! Single events, from JSON to the balancer's terms.
+
+use super::decode;
+use crate::endpoint_lists::EndpointLists;
+use crate::instance::InstanceNames;
+use balancer_core::{ClassId, Event, Outcome, PeerId, Request, RequestId, RoutingKey, Span, TenantId};
+use balancer_settings::hash_name;
+use std::rc::Rc;
+
+fn decode_json(json: &str, names: &mut InstanceNames) -> Option<Event> {
+    let event = serde_json::from_str(json).expect("an event");
+    decode(event, names, &EndpointLists::default()).expect("an event that makes sense")
+}
+
+fn decode_request(fields: &str) -> Request {
+    let json = format!(r#"{{"REQUEST":{{"ticket":"r","cls":1,"expiresInMs":640.125{fields}}}}}"#);
+    match decode_json(&json, &mut InstanceNames::default()) {
+        Some(Event::Request(request)) => request,
+        other => panic!("{other:?} is no request"),
+    }
+}
+
+#[test]
+fn all_fields_of_a_request_are_taken() {
+    let request = decode_request(r#","party":2,"affinity":"k:1","estimateMs":12.5,"opts":7"#);
+
+    let expected = Request {
+        id: RequestId(0),
+        class: ClassId(1),
+        tenant: Some(TenantId(2)),
+        routing_key: Some(RoutingKey(hash_name("k:1"))),
+        cost_hint: Some(Span::from_ms(12.5)),
+        is_client_retry: true,
+        time_left: Span::from_ms(640.125),
+    };
+    assert_eq!(request, expected);
+}
+
+#[test]
+fn cost_hint_counts_only_if_it_is_flagged_and_positive() {
+    assert_eq!(decode_request(r#","estimateMs":12.5,"opts":1"#).cost_hint, Some(Span::from_ms(12.5)));
+    assert_eq!(decode_request(r#","estimateMs":12.5,"opts":6"#).cost_hint, None);
+    assert_eq!(decode_request(r#","estimateMs":12.5"#).cost_hint, None);
+    assert_eq!(decode_request(r#","estimateMs":0.0,"opts":1"#).cost_hint, None);
+    assert_eq!(decode_request(r#","estimateMs":null,"opts":1"#).cost_hint, None);
+}
+
+#[test]
+fn client_retry_is_the_second_flag() {
+    assert!(decode_request(r#","opts":2"#).is_client_retry);
+    assert!(!decode_request(r#","opts":5"#).is_client_retry);
+    assert!(!decode_request(r#","opts":null"#).is_client_retry);
+}
+
+#[test]
+fn hex_digits_of_both_cases_are_read() {
+    let mut names = InstanceNames::default();
+
+    let event = decode_json(r#"{"MAIL":{"srcPeer":4,"raw":"00aAfF7e"}}"#, &mut names);
+    let empty = decode_json(r#"{"MAIL":{"srcPeer":4,"raw":""}}"#, &mut names);
+
+    assert_eq!(event, Some(Event::Gossip { from: PeerId(4), payload: vec![0x00, 0xaa, 0xff, 0x7e] }));
+    assert_eq!(empty, Some(Event::Gossip { from: PeerId(4), payload: Vec::new() }));
+}
+
+#[test]
+fn outcomes_are_read_by_their_codes() {
+    let mut names = InstanceNames::default();
+    let server = names.servers.intern(&Rc::from("backend_a"));
+    for (code, outcome) in [
+        ("done", Outcome::Success),
+        ("err", Outcome::ServerError),
+        ("busy", Outcome::Rejected),
+        ("etimedout", Outcome::TimedOut),
+        ("econnrefused", Outcome::ConnectFailed),
+        ("econnreset", Outcome::ConnectionReset),
+        ("ecanceled", Outcome::Cancelled),
+        ("skipped", Outcome::NotSent),
+    ] {
+        let fields = format!(r#""backend":"backend_a","ending":"{code}","timeTakenMs":1.4,"gauge":[7,0.5]"#);
+
+        let event = decode_json(&format!(r#"{{"PROBED":{{{fields}}}}}"#), &mut names);
+
+        let (elapsed, load_report) = (Span::from_ms(1.4), Some(vec![7.0, 0.5]));
+        assert_eq!(event, Some(Event::HealthChecked { server, outcome, elapsed, load_report }), "{code}");
+    }
+}
--- /dev/null
+++ b/crates/simulator-adapter/src/encode/tests.rs
@@ -0,0 +1,80 @@
+//! Single actions, from the balancer's terms to JSON.
+
+use super::encode;
+use crate::instance::InstanceNames;
+use balancer_core::{Action, AttemptNumber, PeerId, RequestId, ServerId, Span, Time, TimerId};
+use std::rc::Rc;
+
+const REQUEST: RequestId = RequestId(0);
+
+/// The names of an instance that knows one request and one server.
+fn known_names() -> (InstanceNames, ServerId) {
+    let mut names = InstanceNames::default();
+    assert_eq!(names.requests.insert("r-1"), Some(REQUEST));
+    let server = names.servers.intern(&Rc::from("backend_a"));
+    (names, server)
+}
+
+fn to_json(action: Action, names: &mut InstanceNames) -> String {
+    serde_json::to_string(&encode(action, names)).expect("JSON")
+}
+
+#[test]
+fn actions_about_requests_have_the_form_of_the_wire() {
+    let (mut names, server) = known_names();
+    let timeout_at = Time::from_ms(8492.25);
+    for (action, json) in [
+        (
+            Action::Send { request: REQUEST, server, timeout_at, write_by: None },
+            r#"{"ROUTE":{"ticket":"r-1","backend":"backend_a","untilMs":8492.25}}"#,
+        ),
+        (
+            Action::Cancel { request: REQUEST, attempt: AttemptNumber(2) },
+            r#"{"ABANDON":{"ticket":"r-1","attempt":2}}"#,
+        ),
+        (
+            Action::Reject { request: REQUEST, retry_after: Some(Span::from_ms(1.5)) },
+            r#"{"OVERLOAD_REPLY":{"ticket":"r-1","notBeforeForMs":1.5}}"#,
+        ),
+        (
+            Action::Reject { request: REQUEST, retry_after: None },
+            r#"{"OVERLOAD_REPLY":{"ticket":"r-1","notBeforeForMs":null}}"#,
+        ),
+        (Action::Fail { request: REQUEST }, r#"{"ABORT":{"ticket":"r-1"}}"#),
+    ] {
+        assert_eq!(to_json(action, &mut names), json);
+    }
+}
+
+#[test]
+fn other_actions_have_the_form_of_the_wire() {
+    let (mut names, server) = known_names();
+    let payload = vec![0x0a, 0xff];
+    for (action, json) in [
+        (
+            Action::SetTimer { at: Time::from_ms(8912.25), timer: TimerId(77) },
+            r#"{"TIMER":{"atMs":8912.25,"keyBack":77}}"#,
+        ),
+        (Action::CheckHealth { server }, r#"{"HEALTH_CHECK":{"backend":"backend_a"}}"#),
+        (Action::CloseIdle { server }, r#"{"CLOSE_IDLE":{"backend":"backend_a"}}"#),
+        (Action::Gossip { to: None, payload: payload.clone() }, r#"{"ANNOUNCE":{"to":-1,"raw":"0aff"}}"#),
+        (Action::Gossip { to: Some(PeerId(3)), payload }, r#"{"ANNOUNCE":{"to":3,"raw":"0aff"}}"#),
+        (Action::WatchEndpoints, r#"{"FOLLOW":{"active":true}}"#),
+        (Action::Log { text: "two servers".into() }, r#"{"NOTE_DOWN":{"what":"two servers"}}"#),
+    ] {
+        assert_eq!(to_json(action, &mut names), json);
+    }
+}
+
+#[test]
+fn action_about_what_the_instance_does_not_know_is_reported_as_a_bug() {
+    let (mut names, server) = known_names();
+    let unknown_request = Action::Fail { request: RequestId(9) };
+    let unknown_server = Action::CloseIdle { server: ServerId(server.0.wrapping_add(1)) };
+
+    let request_bug = to_json(unknown_request, &mut names);
+    let server_bug = to_json(unknown_server, &mut names);
+
+    assert_eq!(request_bug, r#"{"BUG":{"what":"an action for a request that is not open"}}"#);
+    assert!(server_bug.starts_with(r#"{"BUG":{"what":"an action for server number "#), "{server_bug}");
+}
--- /dev/null
+++ b/crates/simulator-adapter/src/tests/errors.rs
@@ -0,0 +1,88 @@
+//! What bad input is answered with: an error whose text tells where and what, and no reply.
+
+use super::messages::{attach, batch, play, registry, request};
+
+fn batch_after_attach(event: &str) -> String {
+    batch(6, "10", &[(0, &[attach(), event.to_string()])])
+}
+
+fn assert_error(input: &str, expected_words: &str) {
+    let (end, replies) = play(input);
+
+    let error = end.expect_err(expected_words);
+    assert!(error.contains(expected_words), "{error}");
+    assert!(replies.is_empty());
+}
+
+#[test]
+fn error_names_the_round_and_what_is_wrong() {
+    for (line, words) in [
+        ("{\"tMs\":1\n".to_string(), "the first round: not a batch"),
+        (batch_after_attach(r#"{"SURPRISE":{}}"#), "SURPRISE"),
+        (batch_after_attach(r#"{"ELAPSED":{"keyBack":"x"}}"#), "invalid type"),
+        (batch_after_attach(r#"{"ABORTED":{}}"#), "missing field `ticket`"),
+        (
+            batch_after_attach(&request("r").replace(r#""cls":0"#, r#""cls":-1"#)),
+            "invalid value: integer `-1`",
+        ),
+        (batch_after_attach(&registry("Partial", 5)), "round 6: instance 0: REGISTRY names catalogue 5"),
+        (batch(6, "10", &[(3, &[request("r")])]), "round 6: instance 3: an event came before ATTACH"),
+        (batch_after_attach(r#"{"MAIL":{"srcPeer":1,"raw":"6"}}"#), "round 6: instance 0: MAIL"),
+        (
+            batch(6, "10", &[(0, &[r#"{"ATTACH":{"salt":1,"params":{}}}"#.to_string()])]),
+            "round 6: instance 0: settings name no request class",
+        ),
+    ] {
+        assert_error(&line, words);
+    }
+}
+
+#[test]
+fn error_in_an_event_tells_what_was_expected() {
+    for (line, words) in [
+        (batch(6, "-0.5", &[]), "round 6: tMs is -0.5; a time of zero or more was expected"),
+        (batch_after_attach(r#"{"REGISTRY":{"form":"Complete","rev":1}}"#), "REGISTRY names no catalogue"),
+        (batch_after_attach(r#"{"REGISTRY":{"form":"Error"}}"#), "missing field `rev`"),
+        (
+            batch_after_attach(r#"{"MAIL":{"srcPeer":1,"raw":"6g"}}"#),
+            r#"MAIL holds "6g"; an even number of hex digits was expected"#,
+        ),
+        (
+            batch_after_attach(r#"{"PROBED":{"backend":"backend_z","ending":"done","timeTakenMs":1}}"#),
+            "PROBED names backend backend_z, which no list has named",
+        ),
+        (
+            batch(6, "10", &[(0, &[attach(), request("r-1"), request("r-1")])]),
+            "round 6: instance 0: REQUEST r-1 came twice",
+        ),
+    ] {
+        assert_error(&line, words);
+    }
+}
+
+#[test]
+fn malformed_line_is_placed_after_the_last_round() {
+    let (end, replies) = play(&(batch(7, "10", &[]) + "no JSON\n"));
+
+    let error = end.expect_err("the second line is no batch");
+    assert!(error.starts_with("the round after 7: not a batch: "), "{error}");
+    assert_eq!(replies.len(), 1);
+}
+
+#[test]
+fn event_before_attach_is_named_as_on_the_wire() {
+    for (name, fields) in [
+        ("REGISTRY", r#"{"form":"Error","rev":1}"#),
+        ("REQUEST", r#"{"ticket":"r","cls":0,"expiresInMs":1}"#),
+        ("FIRST_BYTE", r#"{"ticket":"r","attempt":0}"#),
+        ("DONE", r#"{"ticket":"r","finished":true,"timeTakenMs":1,"ending":"done","attempt":0}"#),
+        ("ABORTED", r#"{"ticket":"r"}"#),
+        ("ELAPSED", r#"{"keyBack":1}"#),
+        ("PROBED", r#"{"backend":"backend_a","ending":"done","timeTakenMs":1}"#),
+        ("MAIL", r#"{"srcPeer":1,"raw":""}"#),
+    ] {
+        let event = format!(r#"{{"{name}":{fields}}}"#);
+        let expected = format!("round 6: instance 3: an event came before ATTACH: {name}");
+        assert_error(&batch(6, "10", &[(3, &[event])]), &expected);
+    }
+}
--- /dev/null
+++ b/crates/simulator-adapter/src/tests/replies.rs
@@ -0,0 +1,96 @@
+//! What the replies to good input hold.
+
+use super::messages::{actions, attach, batch, catalog, play, registry, request};
+use serde_json::json;
+
+#[test]
+fn empty_batch_gets_an_empty_reply_and_end_of_input_is_no_error() {
+    let input = batch(1, "8412.25", &[]);
+
+    let (end, replies) = play(&input);
+
+    assert_eq!(end, Ok(()));
+    assert_eq!(replies, [json!({"round": 1, "parts": []})]);
+}
+
+#[test]
+fn request_is_sent_and_retried_with_times_to_the_microsecond() {
+    let arrival = [attach(), catalog(3, &["backend_a"]), registry("Persisted", 3), request("r-1")];
+    let refused_connection = json!({"DONE": {
+        "ticket": "r-1", "backend": "backend_a", "finished": false, "timeTakenMs": 3.001,
+        "ending": "econnrefused", "attempt": 0, "gauge": [1, 2],
+    }});
+    let first = batch(1, "358835696.557", &[(4, &arrival)]);
+    let second = batch(2, "358835699.558", &[(4, &[refused_connection.to_string()])]);
+
+    let (end, replies) = play(&(first + &second));
+
+    assert_eq!(end, Ok(()));
+    let expected = json!({"ticket": "r-1", "backend": "backend_a", "untilMs": 358836336.682});
+    assert_eq!(actions(&replies[0], "ROUTE"), [&expected]);
+    assert_eq!(
+        actions(&replies[1], "ROUTE"),
+        [&expected],
+        "the one server is tried again, to the same deadline"
+    );
+}
+
+#[test]
+fn list_number_is_taken_over_within_a_batch() {
+    let events = [
+        attach(),
+        catalog(0, &["backend_a"]),
+        registry("Persisted", 0),
+        catalog(0, &["backend_b"]),
+        registry("Complete", 0),
+        request("r-1"),
+    ];
+
+    let (end, replies) = play(&batch(1, "10", &[(0, &events)]));
+
+    assert_eq!(end, Ok(()));
+    assert_eq!(actions(&replies[0], "ROUTE")[0]["backend"], "backend_b");
+}
+
+#[test]
+fn new_incarnation_in_the_same_batch_does_not_act_for_the_old_one() {
+    let start = batch(1, "10", &[(0, &[attach(), catalog(0, &["backend_a"]), registry("Complete", 0)])]);
+    let restart = [request("old"), r#"{"RETIRE":{}}"#.into(), attach(), request("new")];
+
+    let (end, replies) = play(&(start + &batch(2, "20", &[(0, &restart)])));
+
+    assert_eq!(end, Ok(()));
+    assert!(actions(&replies[1], "ROUTE").is_empty(), "neither the old request nor the old list is known");
+}
+
+#[test]
+fn gossip_health_checks_and_events_of_unknown_requests_are_accepted() {
+    let events = [
+        attach(),
+        catalog(0, &["backend_a"]),
+        registry("Complete", 0),
+        registry("Error", 9),
+        r#"{"MAIL":{"srcPeer":1,"raw":"68692037"}}"#.into(),
+        r#"{"PROBED":{"backend":"backend_a","ending":"done","timeTakenMs":1.4,"gauge":[7,0.5]}}"#.into(),
+        r#"{"ABORTED":{"ticket":"never"}}"#.into(),
+        r#"{"FIRST_BYTE":{"ticket":"never","attempt":0,"backend":"backend_a","timeTakenMs":1}}"#.into(),
+        r#"{"ELAPSED":{"keyBack":77}}"#.into(),
+    ];
+
+    let (end, _) = play(&batch(1, "10", &[(0, &events)]));
+
+    assert_eq!(end, Ok(()));
+}
+
+#[test]
+fn batch_of_megabytes_is_played() {
+    let mut events = vec![attach(), catalog(0, &["backend_a", "backend_b"]), registry("Complete", 0)];
+    events.extend((0..20_000).map(|number| request(&format!("{number:036}"))));
+    let line = batch(1, "10", &[(0, &events)]);
+    assert!(line.len() > 2_000_000);
+
+    let (end, replies) = play(&line);
+
+    assert_eq!(end, Ok(()));
+    assert!(!actions(&replies[0], "ROUTE").is_empty());
+}
