--- a/crates/balancer-core/src/policy/outlier.rs
+++ b/crates/balancer-core/src/policy/outlier.rs
@@ -1,4 +1,4 @@
-//! Outlier detection: failing or slow servers are ejected, and probed with single requests until they recover.
+//! Outlier detection: failing or slow servers are ejected, and probed by single requests until they recover.
 
 use super::concurrency::TARGET_RATIO;
 use super::feedback::LATE_RATIO;
