--- a/crates/balancer-agent/src/listener/validation.rs
+++ b/crates/balancer-agent/src/listener/validation.rs
@@ -55,7 +55,7 @@
             routing_key: routing_key_of(&head),
             cost_hint: cost_hint_of(&head),
             is_client_retry: header_text(&head.headers, "x-retried") == Some("1"),
-            deadline: Instant::now() + (wait - answer_time),
+            deadline: Instant::now() + wait.saturating_sub(answer_time),
             headers: forwarded_headers(&head.headers),
             method: head.method,
             uri: head.uri,
--- a/crates/balancer-agent/src/upstream/pool.rs
+++ b/crates/balancer-agent/src/upstream/pool.rs
@@ -186,7 +186,9 @@
     pub fn retain(&self, is_named: impl Fn(ServerId) -> bool) {
         let unnamed = |server: &ServerId| !is_named(*server);
         let removed: Vec<ServerId> = self.servers.borrow().keys().copied().filter(unnamed).collect();
-        removed.into_iter().for_each(|server| self.forget(server));
+        for server in removed {
+            self.forget(server);
+        }
     }
 
     /// Closes the idle connections to a server.
--- a/crates/simulator-adapter/src/encode.rs
+++ b/crates/simulator-adapter/src/encode.rs
@@ -47,7 +47,7 @@
 }
 
 fn owned(wire_id: Option<&Rc<str>>) -> Result<String, ActionError> {
-    wire_id.map(|wire_id| wire_id.to_string()).ok_or(ActionError::UnknownRequest)
+    wire_id.map(ToString::to_string).ok_or(ActionError::UnknownRequest)
 }
 
 fn receiver(peer: Option<PeerId>) -> i64 {
