--- /dev/null
+++ b/crates/balancer-agent/tests/common/config.rs
@@ -0,0 +1,156 @@
+//! The agent's configuration and the file that it is read from.
+
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+const LONG_DEADLINE_MS: u64 = 60_000;
+
+/// The request classes of the settings, in their order.
+#[derive(Clone, Copy)]
+pub enum RequestClass {
+    /// Idempotent.
+    Read,
+    /// Deduplicated by an idempotency key.
+    Save,
+    /// Unsafe: at most once.
+    Pay,
+}
+
+/// A configuration that the agent can work with, to be adapted step by step.
+#[derive(Clone)]
+pub struct AgentConfig(Value);
+
+impl AgentConfig {
+    /// A configuration with this discovery address and these entries in the known endpoint list, of version
+    /// 1.
+    pub fn new(discovery: SocketAddr, known_entries: &[Value]) -> Self {
+        AgentConfig(json!({
+            "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.to_string(), "seed": "0f",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": {"seq": 1, "whole": true, "hosts": known_entries}, "settings": settings()
+        }))
+    }
+
+    pub fn with_listen_address(mut self, address: &str) -> Self {
+        self.0["listen"] = address.into();
+        self
+    }
+
+    pub fn with_discovery(mut self, address: SocketAddr) -> Self {
+        self.0["discovery"] = address.to_string().into();
+        self
+    }
+
+    pub fn with_known_version(mut self, version: u64) -> Self {
+        self.0["known"]["seq"] = version.into();
+        self
+    }
+
+    pub fn with_socket_limit(mut self, sockets: usize) -> Self {
+        self.0["limits"]["sockets"] = sockets.into();
+        self
+    }
+
+    pub fn with_pushed_discovery(mut self) -> Self {
+        self.0["settings"]["discovery"] = "pushed".into();
+        self
+    }
+
+    pub fn with_connect_timeout_ms(mut self, milliseconds: u64) -> Self {
+        self.0["settings"]["limits"]["connectTimeoutMs"] = milliseconds.into();
+        self
+    }
+
+    pub fn with_keep_alive_ms(mut self, milliseconds: u64) -> Self {
+        self.0["settings"]["limits"]["keepaliveMs"] = milliseconds.into();
+        self
+    }
+
+    pub fn with_retry_after(mut self, is_allowed: bool) -> Self {
+        self.0["settings"]["limits"]["retryAfter"] = is_allowed.into();
+        self
+    }
+
+    /// How long after its notice a draining server may still get requests.
+    pub fn with_stop_sending_within_ms(mut self, milliseconds: u64) -> Self {
+        self.0["settings"]["rules"]["stopSendingWithinMs"] = milliseconds.into();
+        self
+    }
+
+    /// Deadlines of each class that outlast any test.
+    pub fn with_long_deadlines(self) -> Self {
+        [RequestClass::Read, RequestClass::Save, RequestClass::Pay]
+            .into_iter()
+            .fold(self, |config, class| config.with_deadline_ms(class, LONG_DEADLINE_MS))
+    }
+
+    pub fn with_deadline_ms(self, class: RequestClass, milliseconds: u64) -> Self {
+        self.with_class_setting(class, "deadlineMs", milliseconds)
+    }
+
+    pub fn with_latency_objective_ms(self, class: RequestClass, milliseconds: u64) -> Self {
+        self.with_class_setting(class, "aimMs", milliseconds)
+    }
+
+    pub fn with_deduplication_window_ms(self, class: RequestClass, milliseconds: u64) -> Self {
+        self.with_class_setting(class, "dedupWindowMs", milliseconds)
+    }
+
+    fn with_class_setting(mut self, class: RequestClass, name: &str, value: u64) -> Self {
+        self.0["settings"]["classes"][class as usize][name] = value.into();
+        self
+    }
+
+    /// The text of the configuration file.
+    pub fn to_text(&self) -> String {
+        self.0.to_string()
+    }
+}
+
+fn settings() -> Value {
+    json!({"balancers": 1, "zone": 0, "zones": ["a", "b"], "kinds": ["m"], "discovery": "on_request",
+           "classes": [class_settings("read", "idempotent"), class_settings("save", "deduplicated"),
+                       class_settings("pay", "at_most_once")],
+           "parties": [{"name": "acme", "fraction": 1.0, "allowancePerS": 100.0}],
+           "feedback": {"source": "piggyback", "fields": ["qps", "queue"]},
+           "limits": {"cancel": true, "connectTimeoutMs": 500, "keepaliveMs": 10000, "maxAttempts": 3,
+                      "probes": true, "retryAfter": true, "maxRetryAfterMs": 750, "secondCopies": true},
+           "rules": {"askWithinMs": 10000, "stopSendingWithinMs": 2000}, "periodMs": 1})
+}
+
+fn class_settings(name: &str, effect: &str) -> Value {
+    json!({"name": name, "aimMs": 1500, "deadlineMs": 2500, "effect": effect, "group": "all",
+           "dedupWindowMs": 5000, "points": 1})
+}
+
+/// A configuration file, removed when it is dropped.
+pub struct ConfigFile(PathBuf);
+
+impl ConfigFile {
+    /// Writes a file of its own.
+    pub fn create(text: &str) -> Self {
+        static NEXT_NUMBER: AtomicUsize = AtomicUsize::new(0);
+        let number = NEXT_NUMBER.fetch_add(1, Ordering::SeqCst);
+        let name = format!("balancer-agent-{}-{number}.json", std::process::id());
+        let file = ConfigFile(std::env::temp_dir().join(name));
+        file.replace(text);
+        file
+    }
+
+    /// Writes another text to the file.
+    pub fn replace(&self, text: &str) {
+        std::fs::write(&self.0, text).expect("a file");
+    }
+
+    pub fn path(&self) -> &Path {
+        &self.0
+    }
+}
+
+impl Drop for ConfigFile {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
--- a/crates/balancer-agent/tests/connection_close.rs
+++ b/crates/balancer-agent/tests/connection_close.rs
@@ -1,68 +1,50 @@
 //! When the agent closes a client connection, and that no response is cut off by the close.
 
 mod common;
-use common::*;
-use serde_json::Value;
-use std::time::Duration;
+use common::agent::Agent;
+use common::client::Client;
+use common::config::AgentConfig;
+use common::kernel::is_close_unacknowledged;
+use common::messages::{get_request, ok_response};
+use common::server::{ServerReply, TestServer};
+use common::setup::{start_configured_agent, AFTER_LAST_ACCEPT};
+use common::sockets::small_buffer_connection;
+use common::within_time_limit;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpSocket;
 use tokio::time::sleep;
 
-async fn limited_world(sockets: usize) -> (Backend, Directory, Agent) {
-    let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
-    let directory = Directory::start(Mood::Mute).await;
-    let mut config = config(directory.address, &[host("s", backend.address, "up")]);
-    config["limits"]["sockets"] = sockets.into();
-    let agent = Agent::with(config, |_| {}).await;
-    (backend, directory, agent)
-}
-
-/// Past the time in which new connections are taken, and well before SIGKILL with deadlines of 3 s.
-const LATER: Duration = Duration::from_millis(1_000);
+const LARGE_BODY_BYTES: usize = 64 << 10;
 
-/// An agent whose clients wait for long, with one backend that is told of and a discovery that is silent.
-async fn world(backend: &Backend, adapt: impl FnOnce(&mut Value)) -> (Directory, Agent) {
-    let directory = Directory::start(Mood::Mute).await;
-    let mut config = config(directory.address, &[host("s", backend.address, "up")]);
-    for class in config["settings"]["classes"].as_array_mut().expect("classes") {
-        class["deadlineMs"] = 60_000.into();
-    }
-    adapt(&mut config);
-    let agent = Agent::with(config, |_| {}).await;
-    (directory, agent)
+fn large_body() -> String {
+    "x".repeat(LARGE_BODY_BYTES)
 }
 
-/// A client that takes in next to nothing until it reads, and has asked for an answer that does not fit.
-async fn slow_reader(agent: &Agent) -> Client {
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-    // With small segments the agent's side of the connection takes in little as well.
-    socket.set_tcp_mss(88).expect("an option");
-    socket.set_recv_buffer_size(2048).expect("an option");
-    socket.set_nonblocking(true).expect("an option");
-    let socket = TcpSocket::from_std_stream(socket.into());
-    let mut client = Client { stream: socket.connect(agent.address).await.expect("a connection") };
-    client.send(&request("GET", "/read/large", "60000m", "")).await;
-    let mut first = [0];
-    soon("an answer", client.stream.peek(&mut first)).await.expect("the answer has begun");
+/// A client that takes in next to nothing until it reads, and waits for a response that does not fit.
+async fn connect_slow_client(agent: &Agent) -> Client {
+    let mut client = Client { stream: small_buffer_connection(agent.address).await };
+    client.send(&get_request("/read/large", "60000m")).await;
+    let mut first_byte = [0];
+    within_time_limit("a response", client.stream.peek(&mut first_byte))
+        .await
+        .expect("the response has begun");
     client
 }
 
-fn large() -> Vec<u8> {
-    ok(&"x".repeat(64 << 10))
-}
-
-/// Where clients leave one connection behind after the other, faster than idle ones grow old, an answer closes its
-/// connection and says so; with few connections none does.
+/// Where clients leave one connection behind after the other, faster than idle ones grow old, a response
+/// closes its connection and says so; with few connections none does.
 #[tokio::test]
 async fn responses_close_their_connections_when_connections_run_short() {
-    let (_backend, _directory, agent) = limited_world(80).await;
+    let server = TestServer::responding_with("x").await;
+    let (_discovery, agent) =
+        start_configured_agent(server.address, |config| config.with_socket_limit(80)).await;
+
     let mut kept = Vec::new();
     loop {
-        let mut client = agent.client().await;
-        let answer = client.ask(&request("GET", "/read", "20000m", "")).await;
-        assert_eq!(answer.status(), 200);
-        if answer.header("connection") == Some("close") {
-            client.closed().await;
+        let mut client = agent.connect().await;
+        let response = client.exchange(&get_request("/read", "20000m")).await;
+        assert_eq!(response.status(), 200);
+        if response.header("connection") == Some("close") {
+            client.wait_for_close().await;
             break;
         }
         kept.push(client);
@@ -71,57 +53,73 @@
     assert!(kept.len() >= 5, "few connections are all kept");
 }
 
-/// A connection whose answer is on its way is not idle, and no place is won by closing it.
+/// A connection whose response is being sent is not idle, and no room is made by closing it.
 #[tokio::test]
 async fn a_connection_with_an_unfinished_response_is_not_idle() {
-    let backend =
-        Backend::start(|m| Reply::Bytes(if m.head.contains("/large") { large() } else { ok("x") })).await;
-    // A quarter of the places is taken, so the first that are idle close after 2.05 s.
-    let (_directory, agent) = world(&backend, |config| config["limits"]["sockets"] = 80.into()).await;
-    let mut client = slow_reader(&agent).await;
-    let mut idle = Vec::new();
+    let server = TestServer::start(|request| match request.head.contains("/large") {
+        true => ServerReply::KeepOpen(ok_response(&large_body())),
+        false => ServerReply::KeepOpen(ok_response("x")),
+    })
+    .await;
+    // With a quarter of the room taken, the first that are idle are closed after 2.05 s.
+    let (_discovery, agent) =
+        start_configured_agent(server.address, |config| config.with_long_deadlines().with_socket_limit(80))
+            .await;
+    let mut slow_client = connect_slow_client(&agent).await;
+
+    let mut idle_clients = Vec::new();
     for _ in 0..9 {
-        idle.push(agent.client().await);
-        let last = idle.last_mut().expect("it is there");
-        assert_eq!(last.ask(&request("GET", "/read", "60000m", "")).await.status(), 200);
+        let mut client = agent.connect().await;
+        assert_eq!(client.exchange(&get_request("/read", "60000m")).await.status(), 200);
+        idle_clients.push(client);
     }
-    for client in idle.iter_mut().take(2) {
-        client.closed().await;
+    for client in idle_clients.iter_mut().take(2) {
+        client.wait_for_close().await;
     }
-    let answer = client.answer().await;
-    assert_eq!((answer.status(), answer.body.len()), (200, 64 << 10));
+
+    let response = slow_client.receive().await;
+    assert_eq!((response.status(), response.body.len()), (200, LARGE_BODY_BYTES));
 }
 
-/// An answer that its client has not taken in yet is no answer: the agent does not end before it is.
+/// A response that its client has not received yet is not finished: the agent does not exit before it is.
 #[tokio::test]
 async fn a_slow_client_receives_its_response_before_the_agent_exits() {
-    let backend = Backend::start(|_| Reply::Bytes(large())).await;
-    let (_directory, mut agent) = world(&backend, |_| {}).await;
-    let mut client = slow_reader(&agent).await;
-    agent.term().await;
-    sleep(LATER).await;
-    let answer = client.answer().await;
-    assert_eq!((answer.status(), answer.body.len()), (200, 64 << 10));
-    client.closed().await;
-    assert!(agent.end().await.success());
+    let server = TestServer::responding_with(&large_body()).await;
+    let (_discovery, mut agent) =
+        start_configured_agent(server.address, AgentConfig::with_long_deadlines).await;
+    let mut client = connect_slow_client(&agent).await;
+
+    agent.send_sigterm().await;
+    sleep(AFTER_LAST_ACCEPT).await;
+
+    let response = client.receive().await;
+    assert_eq!((response.status(), response.body.len()), (200, LARGE_BODY_BYTES));
+    client.wait_for_close().await;
+    assert!(agent.wait_for_exit().await.success());
 }
 
-/// The agent has written its last answer and closes, and the client still sends: a close over bytes that nobody reads
-/// would reset the connection, and what its client has not taken in by then would be lost.
+/// The agent has written its last response and closes, and the client still sends: a close over bytes that
+/// nobody reads would reset the connection, and what its client has not received by then would be lost.
 #[tokio::test]
 async fn a_response_survives_request_bytes_that_arrive_during_the_close() {
-    let backend = Backend::start(|_| Reply::Bytes(large())).await;
-    let (_directory, mut agent) = world(&backend, |_| {}).await;
-    let mut client = slow_reader(&agent).await;
-    agent.term().await;
-    let mut answer = Vec::new();
+    let server = TestServer::responding_with(&large_body()).await;
+    let (_discovery, mut agent) =
+        start_configured_agent(server.address, AgentConfig::with_long_deadlines).await;
+    let mut client = connect_slow_client(&agent).await;
+    let client_address = client.stream.local_addr().expect("an address");
+
+    agent.send_sigterm().await;
+    let mut response = Vec::new();
     let mut part = [0; 64];
-    while !closing(agent.address, client.stream.local_addr().expect("an address")) {
-        let read = soon("more of the answer", client.stream.read(&mut part)).await;
-        answer.extend_from_slice(&part[..read.expect("the answer is cut")]);
+    while !is_close_unacknowledged(agent.address, client_address) {
+        let read = within_time_limit("more of the response", client.stream.read(&mut part)).await;
+        response.extend_from_slice(&part[..read.expect("the response is cut")]);
     }
     client.stream.write_all(b"x").await.expect("it is written");
-    soon("the rest of the answer", client.stream.read_to_end(&mut answer)).await.expect("the answer is cut");
-    assert!(answer.ends_with(&[b'x'; 64 << 10]), "{} bytes came", answer.len());
-    assert!(agent.end().await.success());
+
+    within_time_limit("the rest of the response", client.stream.read_to_end(&mut response))
+        .await
+        .expect("the response is cut");
+    assert!(response.ends_with(large_body().as_bytes()), "{} bytes came", response.len());
+    assert!(agent.wait_for_exit().await.success());
 }
--- a/crates/balancer-agent/tests/graceful_shutdown.rs
+++ b/crates/balancer-agent/tests/graceful_shutdown.rs
@@ -2,228 +2,248 @@
 //! before the agent exits.
 
 mod common;
-use common::*;
-use serde_json::Value;
+use common::agent::Agent;
+use common::client::Client;
+use common::config::{AgentConfig, RequestClass};
+use common::messages::{get_request, ok_response, post_request, read_message, Message};
+use common::server::{ServerReply, TestServer};
+use common::setup::{start_agent, start_configured_agent, AFTER_LAST_ACCEPT};
+use common::within_time_limit;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
-use tokio::sync::Notify;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::time::sleep;
 
-/// Past the time in which new connections are taken, and well before SIGKILL with deadlines of 3 s.
-const LATER: Duration = Duration::from_millis(1_000);
+/// After SIGTERM: idle connections are closed, what is in flight is answered, connections that come late are
+/// still accepted, each response says that it is the last, and the agent exits by itself.
+#[tokio::test]
+async fn requests_in_flight_and_late_requests_are_answered() {
+    let other_reply = ServerReply::KeepOpen(ok_response("x"));
+    let (mut server, gate) = TestServer::holding_payments(ok_response("x"), other_reply).await;
+    let (_discovery, mut agent) = start_agent(server.address).await;
+    let mut idle = agent.connect().await;
+    assert_eq!(idle.exchange(&get_request("/read", "2000m")).await.status(), 200);
+    server.next_request().await;
+    let mut in_flight = agent.send_request(&post_request("/pay", "2400m", "b")).await;
+    server.next_request().await;
 
-/// An agent whose clients wait for long, with one backend that is told of and a discovery that is silent.
-async fn world(backend: &Backend, adapt: impl FnOnce(&mut Value)) -> (Directory, Agent) {
-    let directory = Directory::start(Mood::Mute).await;
-    let mut config = config(directory.address, &[host("s", backend.address, "up")]);
-    for class in config["settings"]["classes"].as_array_mut().expect("classes") {
-        class["deadlineMs"] = 60_000.into();
-    }
-    adapt(&mut config);
-    let agent = Agent::with(config, |_| {}).await;
-    (directory, agent)
+    agent.send_sigterm().await;
+
+    idle.wait_for_close().await;
+    let mut late = agent.connect().await;
+    let response = late.exchange(&get_request("/read", "2000m")).await;
+    assert_eq!((response.status(), response.header("connection")), (200, Some("close")));
+    late.wait_for_close().await;
+    assert_eq!(agent.readiness_status().await, 503);
+    gate.release_one();
+    let response = in_flight.receive().await;
+    assert_eq!((response.status(), response.header("connection")), (200, Some("close")));
+    assert!(agent.wait_for_exit().await.success());
 }
 
-/// After SIGTERM: idle connections close, what is in flight is answered, connections that come late are still
-/// taken, each answer says that it is the last, and the agent ends by itself.
-#[tokio::test]
-async fn requests_in_flight_and_late_requests_are_answered() {
-    let word = Arc::new(Notify::new());
-    let gate = word.clone();
-    let mut backend = Backend::start(move |m| match m.head.contains("/pay") {
-        true => Reply::When(gate.clone(), ok("x")),
-        false => Reply::Bytes(ok("x")),
-    })
-    .await;
-    let directory = Directory::start(Mood::Mute).await;
-    let mut agent = Agent::start(directory.address, &[host("s", backend.address, "up")]).await;
-    let mut idle = agent.client().await;
-    assert_eq!(idle.ask(&request("GET", "/read", "2000m", "")).await.status(), 200);
-    backend.next().await;
-    let mut in_flight = agent.client().await;
-    in_flight.send(&request("POST", "/pay", "2400m", "b")).await;
-    backend.next().await;
-    agent.term().await;
-    idle.closed().await;
-    let mut late = agent.client().await;
-    let answer = late.ask(&request("GET", "/read", "2000m", "")).await;
-    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
-    late.closed().await;
-    let mut late = agent.client().await;
-    assert_eq!(late.ask("GET /ready HTTP/1.1\r\n\r\n").await.status(), 503);
-    word.notify_one();
-    let answer = in_flight.answer().await;
-    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
-    assert!(agent.end().await.success());
+/// A client as clients really behave: it uses the connection it has, opens new ones for a while after
+/// SIGTERM, and sends once more what crossed the closing of an idle one.
+struct LoadClient {
+    agent: SocketAddr,
+    kept_connection: Option<TcpStream>,
+    sigterm_time: watch::Receiver<Option<Instant>>,
+    served: Arc<AtomicUsize>,
 }
 
-/// A planned end in the midst of traffic, as clients really behave: they use the connections they have, open new
-/// ones for a while, and send once more what crossed the closing of an idle one. Nothing may be lost.
+impl LoadClient {
+    async fn run(mut self) {
+        loop {
+            let request = get_request("/read", "2000m");
+            let may_connect = self.may_connect();
+            let mut response = self.exchange_over_kept_connection(&request).await;
+            if response.is_none() {
+                if !may_connect {
+                    return;
+                }
+                response = self.exchange_over_new_connection(&request).await;
+            }
+            let response = response.expect("a request was lost");
+            assert_eq!(response.status(), 200);
+            self.served.fetch_add(1, Ordering::SeqCst);
+            if response.header("connection") == Some("close") {
+                self.kept_connection = None;
+            }
+        }
+    }
+
+    fn may_connect(&self) -> bool {
+        self.sigterm_time.borrow().is_none_or(|time| time.elapsed() < Duration::from_millis(300))
+    }
+
+    async fn exchange_over_kept_connection(&mut self, request: &str) -> Option<Message> {
+        let stream = self.kept_connection.as_mut()?;
+        let _ = stream.write_all(request.as_bytes()).await;
+        within_time_limit("a response or the end", read_message(stream, 0)).await
+    }
+
+    async fn exchange_over_new_connection(&mut self, request: &str) -> Option<Message> {
+        let mut stream = TcpStream::connect(self.agent).await.expect("still accepted");
+        let _ = stream.write_all(request.as_bytes()).await;
+        let response = within_time_limit("a response", read_message(&mut stream, 0)).await;
+        self.kept_connection = Some(stream);
+        response
+    }
+}
+
+/// A shutdown in the midst of traffic. Nothing may be lost.
 #[tokio::test]
 async fn no_request_is_lost_under_load() {
     const CLIENTS: usize = 16;
-    let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
-    let directory = Directory::start(Mood::Mute).await;
-    let mut agent = Agent::start(directory.address, &[host("s", backend.address, "up")]).await;
-    let (told, end) = tokio::sync::watch::channel(None::<Instant>);
+    let server = TestServer::responding_with("x").await;
+    let (_discovery, mut agent) = start_agent(server.address).await;
+    let sigterm_time = watch::Sender::new(None);
     let served = Arc::new(AtomicUsize::new(0));
-    let mut clients = Vec::new();
-    for _ in 0..CLIENTS {
-        let (address, end, served) = (agent.address, end.clone(), served.clone());
-        clients.push(tokio::spawn(async move {
-            let mut kept: Option<tokio::net::TcpStream> = None;
-            loop {
-                let text = request("GET", "/read", "2000m", "");
-                let connects = end.borrow().is_none_or(|at| at.elapsed() < Duration::from_millis(300));
-                let mut answer = None;
-                if let Some(stream) = &mut kept {
-                    let _ = stream.write_all(text.as_bytes()).await;
-                    answer = soon("an answer or the end", read_message(stream, 0)).await;
-                }
-                if answer.is_none() {
-                    if !connects {
-                        return;
-                    }
-                    let mut stream = tokio::net::TcpStream::connect(address).await.expect("still taken");
-                    let _ = stream.write_all(text.as_bytes()).await;
-                    answer = soon("an answer", read_message(&mut stream, 0)).await;
-                    kept = Some(stream);
-                }
-                let answer = answer.expect("a request was lost");
-                assert_eq!(answer.status(), 200);
-                served.fetch_add(1, Ordering::SeqCst);
-                if answer.header("connection") == Some("close") {
-                    kept = None;
-                }
-            }
-        }));
-    }
-    soon("traffic", async {
+    let clients = [(); CLIENTS].map(|()| {
+        let client = LoadClient {
+            agent: agent.address,
+            kept_connection: None,
+            sigterm_time: sigterm_time.subscribe(),
+            served: served.clone(),
+        };
+        tokio::spawn(client.run())
+    });
+    within_time_limit("traffic", async {
         while served.load(Ordering::SeqCst) < 10 * CLIENTS {
             tokio::task::yield_now().await;
         }
     })
     .await;
-    agent.term().await;
-    let before = served.load(Ordering::SeqCst);
-    told.send_replace(Some(Instant::now()));
+
+    agent.send_sigterm().await;
+    let served_before = served.load(Ordering::SeqCst);
+    sigterm_time.send_replace(Some(Instant::now()));
+
     for client in clients {
-        soon("a client's end", client).await.expect("nothing lost");
+        within_time_limit("a client's end", client).await.expect("nothing lost");
     }
     // How much depends on the machine: clients come for 0.3 s.
-    assert!(served.load(Ordering::SeqCst) > before, "no traffic after SIGTERM");
-    assert!(agent.end().await.success());
+    assert!(served.load(Ordering::SeqCst) > served_before, "no traffic after SIGTERM");
+    assert!(agent.wait_for_exit().await.success());
 }
 
-/// All places are taken and their requests open. What waits in the listener's queue when the time for new connections
-/// is over is taken and answered once there is room.
+/// The agent has no room for a further connection, and the requests of all are open. What waits in the
+/// listener's queue when the time for new connections is over is accepted and answered once there is room.
 #[tokio::test]
 async fn connections_in_the_accept_queue_are_accepted_and_answered() {
-    let word = Arc::new(Notify::new());
-    let gate = word.clone();
-    let mut backend = Backend::start(move |m| match m.head.contains("/pay") {
-        true => Reply::When(gate.clone(), ok("x")),
-        false => Reply::Bytes(ok("x")),
+    let other_reply = ServerReply::KeepOpen(ok_response("x"));
+    let (mut server, gate) = TestServer::holding_payments(ok_response("x"), other_reply).await;
+    let (_discovery, mut agent) = start_configured_agent(server.address, |config| {
+        let config = config.with_long_deadlines().with_socket_limit(80);
+        // With this objective they are queued for long.
+        config.with_latency_objective_ms(RequestClass::Read, 30_000)
     })
     .await;
-    let adapt = |config: &mut Value| {
-        config["limits"]["sockets"] = 80.into();
-        // With this aim they are held for long.
-        config["settings"]["classes"][0]["aimMs"] = 30_000.into();
-    };
-    let (_directory, mut agent) = world(&backend, adapt).await;
-    let mut open = Vec::new();
+    let mut clients = Vec::new();
     for _ in 0..2 {
-        open.push(agent.client().await);
-        open.last_mut().expect("it is there").send(&request("POST", "/pay", "60000m", "b")).await;
-        backend.next().await;
-    }
-    // These are held, for the backend has all that it is thought to bear.
-    for _ in 2..28 {
-        open.push(agent.client().await);
-        open.last_mut().expect("it is there").send(&request("GET", "/read", "60000m", "")).await;
+        clients.push(agent.send_request(&post_request("/pay", "60000m", "b")).await);
+        server.next_request().await;
     }
-    let mut queue = Vec::new();
-    for _ in 0..4 {
-        queue.push(agent.client().await);
-        queue.last_mut().expect("it is there").send(&request("GET", "/read", "60000m", "")).await;
+    // 26 are queued, for the server has all that it is thought to bear, and 4 are not accepted yet.
+    for _ in 0..26 + 4 {
+        clients.push(agent.send_request(&get_request("/read", "60000m")).await);
     }
-    agent.term().await;
-    sleep(LATER).await;
-    word.notify_one();
-    word.notify_one();
-    for client in open.iter_mut().chain(&mut queue) {
-        let answer = client.answer().await;
-        assert!(matches!(answer.status(), 200 | 429), "{}", answer.status());
-        assert_eq!(answer.header("connection"), Some("close"));
+
+    agent.send_sigterm().await;
+    sleep(AFTER_LAST_ACCEPT).await;
+    gate.release_one();
+    gate.release_one();
+
+    for client in &mut clients {
+        let response = client.receive().await;
+        assert!(matches!(response.status(), 200 | 429), "{}", response.status());
+        assert_eq!(response.header("connection"), Some("close"));
     }
-    assert!(agent.end().await.success());
+    assert!(agent.wait_for_exit().await.success());
 }
 
 /// Clients may wait longer than SIGKILL does. What hangs then is answered as failed before it comes.
 #[tokio::test]
 async fn requests_that_outlast_the_shutdown_period_get_a_504() {
-    let mut backend = Backend::start(|_| Reply::Mute).await;
-    let (_directory, mut agent) = world(&backend, |_| {}).await;
-    let mut early = agent.client().await;
-    early.send(&request("POST", "/pay", "60000m", "b")).await;
-    backend.next().await;
-    let told = Instant::now();
-    agent.term().await;
-    let mut late = agent.client().await;
-    late.send(&request("POST", "/pay", "60000m", "b")).await;
-    backend.next().await;
+    let mut server = TestServer::start(|_| ServerReply::Silent).await;
+    let (_discovery, mut agent) =
+        start_configured_agent(server.address, AgentConfig::with_long_deadlines).await;
+    let mut early = agent.send_request(&post_request("/pay", "60000m", "b")).await;
+    server.next_request().await;
+
+    let signalled = Instant::now();
+    agent.send_sigterm().await;
+    let mut late = agent.send_request(&post_request("/pay", "60000m", "b")).await;
+    server.next_request().await;
+
     for client in [&mut early, &mut late] {
-        assert_eq!(client.answer().await.status(), 504);
-        client.closed().await;
+        assert_eq!(client.receive().await.status(), 504);
+        client.wait_for_close().await;
     }
     // 3.65 s with some room for a machine under load; the deadlines are 60 s.
-    assert!(told.elapsed() < Duration::from_secs(15), "{:?}", told.elapsed());
-    assert!(agent.end().await.success());
+    assert!(signalled.elapsed() < Duration::from_secs(15), "{:?}", signalled.elapsed());
+    assert!(agent.wait_for_exit().await.success());
+}
+
+/// A request of which a part has been sent.
+struct PartialRequest {
+    client: Client,
+    sent_bytes: usize,
+    rest: String,
+}
+
+impl PartialRequest {
+    async fn send(agent: &Agent, request: &str, sent_bytes: usize) -> Self {
+        let (part, rest) = request.split_at(sent_bytes);
+        PartialRequest { client: agent.send_request(part).await, sent_bytes, rest: rest.to_owned() }
+    }
 }
 
-/// A connection that has said nothing, one with half a head and one with half a body when SIGTERM comes: each request
-/// that becomes whole is answered, after a second SIGTERM too.
+/// A connection that has sent nothing, one with half a head and one with half a body when SIGTERM comes: each
+/// request that becomes whole is answered, after a second SIGTERM too.
 #[tokio::test]
 async fn requests_completed_after_the_signal_are_answered() {
-    let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
-    let (_directory, mut agent) = world(&backend, |_| {}).await;
-    let text = request("POST", "/pay", "60000m", "the body");
-    let other = request("POST", "/pay", "60000m", "the body");
-    let third = request("POST", "/pay", "60000m", "the body");
-    let mut clients = [(0, &text), (40, &other), (third.len() - 3, &third)].map(|(n, text)| (n, text, None));
-    for (sent, text, client) in &mut clients {
-        let mut connected = agent.client().await;
-        connected.send(&text[..*sent]).await;
-        *client = Some(connected);
-    }
-    agent.ready().await;
-    agent.term().await;
-    for (sent, text, client) in &mut clients {
-        agent.term().await;
-        let client = client.as_mut().expect("it is there");
-        client.send(&text[*sent..]).await;
-        let answer = client.answer().await;
-        assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")), "{sent}");
-        client.closed().await;
+    let server = TestServer::responding_with("x").await;
+    let (_discovery, mut agent) =
+        start_configured_agent(server.address, AgentConfig::with_long_deadlines).await;
+    let requests = [(); 3].map(|()| post_request("/pay", "60000m", "the body"));
+    let mut partial_requests = [
+        PartialRequest::send(&agent, &requests[0], 0).await,
+        PartialRequest::send(&agent, &requests[1], 40).await,
+        PartialRequest::send(&agent, &requests[2], requests[2].len() - 3).await,
+    ];
+    agent.wait_until_ready().await;
+
+    agent.send_sigterm().await;
+
+    for PartialRequest { client, sent_bytes, rest } in &mut partial_requests {
+        agent.send_sigterm().await;
+        let response = client.exchange(rest).await;
+        let close = (response.status(), response.header("connection"));
+        assert_eq!(close, (200, Some("close")), "{sent_bytes}");
+        client.wait_for_close().await;
     }
-    assert!(agent.end().await.success());
+    assert!(agent.wait_for_exit().await.success());
 }
 
-/// Nothing keeps the agent from its end for long: neither mute connections nor idle ones.
+/// Nothing keeps the agent from its exit for long: neither silent connections nor idle ones.
 #[tokio::test]
 async fn silent_and_idle_connections_do_not_delay_the_exit() {
-    let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
-    let (_directory, mut agent) = world(&backend, |_| {}).await;
-    let mut mute = agent.client().await;
-    let mut idle = agent.client().await;
-    assert_eq!(idle.ask(&request("GET", "/read", "60000m", "")).await.status(), 200);
-    let told = Instant::now();
-    agent.term().await;
-    idle.closed().await;
-    assert!(agent.end().await.success());
-    mute.closed().await;
-    assert!(told.elapsed() >= Duration::from_millis(600), "new connections are taken for a while");
+    let server = TestServer::responding_with("x").await;
+    let (_discovery, mut agent) =
+        start_configured_agent(server.address, AgentConfig::with_long_deadlines).await;
+    let mut silent = agent.connect().await;
+    let mut idle = agent.connect().await;
+    assert_eq!(idle.exchange(&get_request("/read", "60000m")).await.status(), 200);
+
+    let signalled = Instant::now();
+    agent.send_sigterm().await;
+
+    idle.wait_for_close().await;
+    assert!(agent.wait_for_exit().await.success());
+    silent.wait_for_close().await;
+    assert!(signalled.elapsed() >= Duration::from_millis(600), "new connections are accepted for a while");
 }
--- a/crates/balancer-agent/tests/readiness_and_start.rs
+++ b/crates/balancer-agent/tests/readiness_and_start.rs
@@ -1,31 +1,42 @@
 //! How the agent starts, when it reports that it is ready, and how it restarts after it was killed.
 
 mod common;
-use common::*;
+use common::agent::{agent_command, Agent};
+use common::config::{AgentConfig, ConfigFile};
+use common::discovery::{up_entry, DiscoveryBehavior, TestDiscovery};
+use common::messages::get_request;
+use common::server::TestServer;
+use common::setup::SERVER_NAME;
+use common::sockets::RefusingAddress;
+use common::within_time_limit;
 
 #[tokio::test]
 async fn the_agent_becomes_ready_when_discovery_lists_a_server() {
-    let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
-    let mut directory = Directory::start(Mood::Mute).await;
-    let agent = Agent::start(directory.address, &[]).await;
-    let answer = agent.client().await.ask("GET /ready HTTP/1.1\r\n\r\n").await;
-    assert_eq!(answer.status(), 503);
-    directory.next_call().await;
-    directory.list(2, &[host("s", backend.address, "up")]);
-    agent.ready().await;
+    let server = TestServer::responding_with("x").await;
+    let mut discovery = TestDiscovery::silent().await;
+    let agent = Agent::start(&AgentConfig::new(discovery.address, &[])).await;
+    assert_eq!(agent.readiness_status().await, 503);
+
+    discovery.next_call().await;
+    discovery.publish(2, &[up_entry(SERVER_NAME, server.address)]);
+
+    agent.wait_until_ready().await;
     assert_eq!(agent.get("/read").await.status(), 200);
 }
 
-/// A restarted agent has the list that it had before, and serves by it while discovery is silent, down or gone.
+/// A restarted agent has the list that it had before, and serves by it while discovery is silent, down or
+/// gone.
 #[tokio::test]
 async fn an_agent_with_a_known_endpoint_list_is_ready_whatever_discovery_does() {
-    let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
-    let (mute, down) = (Directory::start(Mood::Mute).await, Directory::start(Mood::Down).await);
-    let (gone, _reserved) = nobody();
-    for address in [mute.address, down.address, gone] {
-        let agent = Agent::start(address, &[host("s", backend.address, "up")]).await;
-        let answer = agent.client().await.ask("GET /ready HTTP/1.1\r\n\r\n").await;
-        assert_eq!(answer.status(), 200);
+    let server = TestServer::responding_with("x").await;
+    let silent = TestDiscovery::silent().await;
+    let failing = TestDiscovery::start(DiscoveryBehavior::Fail).await;
+    let gone = RefusingAddress::reserve();
+
+    for discovery_address in [silent.address, failing.address, gone.address] {
+        let config = AgentConfig::new(discovery_address, &[up_entry(SERVER_NAME, server.address)]);
+        let agent = Agent::start(&config).await;
+        assert_eq!(agent.readiness_status().await, 200);
         assert_eq!(agent.get("/read").await.status(), 200);
     }
 }
@@ -33,9 +44,12 @@
 #[tokio::test]
 async fn an_invalid_configuration_ends_the_start_with_a_one_line_error() {
     for text in ["", "{}", "[1]", r#"{"settings":{"classes":[]},"discovery":"127.0.0.1:1"}"#] {
-        let file = write_config(text);
-        let output = soon("the end", command(&file).output()).await.expect("output");
-        std::fs::remove_file(&file).expect("the file is there");
+        let config_file = ConfigFile::create(text);
+
+        let output = within_time_limit("the exit", agent_command(&config_file).output()).await;
+
+        let output = output.expect("output");
+        std::fs::remove_file(config_file.path()).expect("the file is there");
         assert!(!output.status.success());
         let log = String::from_utf8(output.stderr).expect("UTF-8");
         assert_eq!(log.lines().count(), 1, "{log}");
@@ -43,21 +57,22 @@
     }
 }
 
-/// An agent that was killed outright starts again under the same address with the list it had, and serves.
+/// An agent that was killed outright starts again at the same address with the list it had, and serves.
 #[tokio::test]
 async fn a_killed_agent_restarts_on_its_address() {
-    let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
-    let directory = Directory::start(Mood::Mute).await;
-    let mut config = config(directory.address, &[host("s", backend.address, "up")]);
+    let server = TestServer::responding_with("x").await;
+    let discovery = TestDiscovery::silent().await;
     // An address of its own, or another test might take the port between the two starts.
-    config["listen"] = "127.0.0.2:0".into();
-    let mut agent = Agent::with(config.clone(), |_| {}).await;
+    let config = AgentConfig::new(discovery.address, &[up_entry(SERVER_NAME, server.address)])
+        .with_listen_address("127.0.0.2:0");
+    let mut killed = Agent::start(&config).await;
     // A connection that is open when the process dies leaves its address in use for a while.
-    let mut client = agent.client().await;
-    assert_eq!(client.ask(&request("GET", "/read", "2000m", "")).await.status(), 200);
-    agent.child.kill().await.expect("it is killed");
-    config["listen"] = agent.address.to_string().into();
-    let again = Agent::with(config, |_| {}).await;
-    again.ready().await;
-    assert_eq!(again.get("/read").await.status(), 200);
+    let mut client = killed.connect().await;
+    assert_eq!(client.exchange(&get_request("/read", "2000m")).await.status(), 200);
+
+    killed.process.kill().await.expect("it is killed");
+    let restarted = Agent::start(&config.with_listen_address(&killed.address.to_string())).await;
+
+    restarted.wait_until_ready().await;
+    assert_eq!(restarted.get("/read").await.status(), 200);
 }
--- a/crates/balancer-agent/tests/reconfiguration.rs
+++ b/crates/balancer-agent/tests/reconfiguration.rs
@@ -1,80 +1,85 @@
 //! SIGHUP: the agent reads its configuration again, in service and during graceful shutdown.
 
 mod common;
-use common::*;
-use serde_json::json;
-use std::sync::Arc;
+use common::agent::{agent_command, Agent};
+use common::config::{AgentConfig, ConfigFile};
+use common::discovery::{up_entry, TestDiscovery};
+use common::messages::{ok_response, post_request};
+use common::server::{ServerReply, TestServer};
+use common::setup::SERVER_NAME;
+use common::within_time_limit;
 use tokio::io::AsyncReadExt;
-use tokio::sync::Notify;
 
-/// SIGHUP has the file read again: the discovery that it names now is asked for its whole list, whatever version
-/// that has, and requests go on undisturbed. `PROXY_DISCOVERY` is the start's and does not mask it.
+/// Starts an agent whose variables name the discovery as well as its configuration does.
+async fn start_agent_with_discovery_variable(config: &AgentConfig, discovery: &TestDiscovery) -> Agent {
+    let config_file = ConfigFile::create(&config.to_text());
+    let mut command = agent_command(&config_file);
+    command.env("PROXY_DISCOVERY", discovery.address.to_string());
+    Agent::spawn(command, config_file).await
+}
+
+/// After SIGHUP the discovery that the file names now is called for its whole list, whatever version that
+/// has, and requests go on undisturbed. `PROXY_DISCOVERY` is the start's and does not mask it.
 #[tokio::test]
 async fn a_reload_switches_to_the_new_discovery_address() {
-    let word = Arc::new(Notify::new());
-    let gate = word.clone();
-    let mut old = Backend::start(move |m| match m.head.contains("/pay") {
-        true => Reply::When(gate.clone(), ok("paid")),
-        false => Reply::Bytes(ok("old")),
-    })
-    .await;
-    let new = Backend::start(|_| Reply::Bytes(ok("new"))).await;
-    let mut first = Directory::start(Mood::List(json!({"seq": 1, "whole": true, "hosts": []}))).await;
-    let mut second = Directory::start(Mood::Mute).await;
-    second.list(1, &[host("new", new.address, "up")]);
-    let mut config = config(first.address, &[host("old", old.address, "up")]);
-    config["known"]["seq"] = 50.into();
-    let from = first.address.to_string();
-    let mut agent = Agent::with(config.clone(), |c| {
-        c.env("PROXY_DISCOVERY", from);
-    })
-    .await;
-    first.next_call().await;
-    let mut payer = agent.client().await;
-    payer.send(&request("POST", "/pay", "60000m", "b")).await;
-    old.next().await;
+    let other_reply = ServerReply::KeepOpen(ok_response("old"));
+    let (mut old_server, gate) = TestServer::holding_payments(ok_response("paid"), other_reply).await;
+    let new_server = TestServer::responding_with("new").await;
+    let mut old_discovery = TestDiscovery::without_news().await;
+    let mut new_discovery = TestDiscovery::silent().await;
+    new_discovery.publish(1, &[up_entry("new", new_server.address)]);
+    let known_entries = [up_entry("old", old_server.address)];
+    let config = AgentConfig::new(old_discovery.address, &known_entries).with_known_version(50);
+    let mut agent = start_agent_with_discovery_variable(&config, &old_discovery).await;
+    old_discovery.next_call().await;
+    let mut paying_client = agent.send_request(&post_request("/pay", "60000m", "b")).await;
+    old_server.next_request().await;
+
     // What cannot be read changes nothing, and neither it nor a quick repeat ends the agent.
-    agent.replace("{ half a file");
-    agent.hang_up().await;
-    agent.hang_up().await;
+    agent.replace_config("{ half a file");
+    agent.send_sighup().await;
+    agent.send_sighup().await;
     assert_eq!(agent.get("/read").await.body, b"old");
-    config["discovery"] = second.address.to_string().into();
-    agent.replace(&config.to_string());
+
+    agent.replace_config(&config.with_discovery(new_discovery.address).to_text());
     for _ in 0..3 {
-        agent.hang_up().await;
+        agent.send_sighup().await;
     }
-    assert_eq!(second.next_call().await, "/v1/endpoints", "the whole list");
-    // The watch that follows shows that the list has been taken in.
-    soon("the new watch", async { while !second.next_call().await.contains("after=1&") {} }).await;
+    assert_eq!(new_discovery.next_call().await, "/v1/endpoints", "the whole list");
+    // The watch that follows shows that the list has been applied.
+    within_time_limit("the new watch", async {
+        while !new_discovery.next_call().await.contains("after=1&") {}
+    })
+    .await;
     assert_eq!(agent.get("/read").await.body, b"new");
-    word.notify_one();
-    assert_eq!(payer.answer().await.body, b"paid");
-    agent.hang_up().await;
-    agent.term().await;
-    assert!(agent.end().await.success());
+
+    gate.release_one();
+    assert_eq!(paying_client.receive().await.body, b"paid");
+    agent.send_sighup().await;
+    agent.send_sigterm().await;
+    assert!(agent.wait_for_exit().await.success());
 }
 
-/// A new configuration during the end is heeded: what is still open goes by the new discovery.
+/// What is still open goes by the new discovery.
 #[tokio::test]
 async fn a_reload_takes_effect_during_graceful_shutdown() {
-    let word = Arc::new(Notify::new());
-    let gate = word.clone();
-    let mut backend = Backend::start(move |_| Reply::When(gate.clone(), ok("x"))).await;
-    let (mut directory, mut new) = (Directory::start(Mood::Mute).await, Directory::start(Mood::Mute).await);
-    let mut config = config(directory.address, &[host("s", backend.address, "up")]);
-    let mut agent = Agent::with(config.clone(), |_| {}).await;
-    directory.next_call().await;
-    let mut client = agent.client().await;
-    client.send(&request("POST", "/pay", "60000m", "b")).await;
-    backend.next().await;
-    config["discovery"] = new.address.to_string().into();
-    agent.replace(&config.to_string());
-    agent.term().await;
-    agent.hang_up().await;
-    assert_eq!(new.next_call().await, "/v1/endpoints");
-    word.notify_one();
-    assert_eq!(client.answer().await.status(), 200);
+    let (mut server, gate) = TestServer::holding_responses("x").await;
+    let mut old_discovery = TestDiscovery::silent().await;
+    let mut new_discovery = TestDiscovery::silent().await;
+    let config = AgentConfig::new(old_discovery.address, &[up_entry(SERVER_NAME, server.address)]);
+    let mut agent = Agent::start(&config).await;
+    old_discovery.next_call().await;
+    let mut client = agent.send_request(&post_request("/pay", "60000m", "b")).await;
+    server.next_request().await;
+
+    agent.replace_config(&config.with_discovery(new_discovery.address).to_text());
+    agent.send_sigterm().await;
+    agent.send_sighup().await;
+
+    assert_eq!(new_discovery.next_call().await, "/v1/endpoints");
+    gate.release_one();
+    assert_eq!(client.receive().await.status(), 200);
     let mut rest = Vec::new();
     assert_eq!(client.stream.read_to_end(&mut rest).await.expect("a close"), 0);
-    assert!(agent.end().await.success());
+    assert!(agent.wait_for_exit().await.success());
 }
--- a/crates/balancer-agent/tests/request_validation.rs
+++ b/crates/balancer-agent/tests/request_validation.rs
@@ -1,68 +1,71 @@
 //! Requests that the agent rejects: invalid headers, ambiguous or excessive lengths, and request ids in use.
 
 mod common;
-use common::*;
-use std::sync::Arc;
-use tokio::sync::Notify;
-
-async fn world(sockets: usize) -> (Backend, Directory, Agent) {
-    let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
-    let directory = Directory::start(Mood::Mute).await;
-    let mut config = config(directory.address, &[host("s", backend.address, "up")]);
-    config["limits"]["sockets"] = sockets.into();
-    let agent = Agent::with(config, |_| {}).await;
-    (backend, directory, agent)
+use common::messages::{chunked_post_request, get_request, post_request};
+use common::server::TestServer;
+use common::setup::start_agent;
+
+/// The most bytes that a body may have.
+const MAX_BODY_BYTES: usize = 64 << 10;
+
+/// A request and the status that it is rejected with.
+struct InvalidRequest {
+    text: String,
+    status: u16,
+}
+
+fn invalid_requests() -> Vec<InvalidRequest> {
+    let valid = get_request("/read", "2000m");
+    [
+        (valid.replace("/read", "/nowhere"), 404),
+        (valid.replace("Class: read", "Class: save"), 400),
+        (valid.replace("X-Priority-Class: read\r\n", ""), 400),
+        (valid.replace("acme", "nobody"), 400),
+        (valid.replace("X-Tenant-Id: acme\r\n", ""), 400),
+        (valid.replace("X-Request-ID: id", "X-Other: id"), 400),
+        (valid.replace("X-Timeout: 2000m\r\n", ""), 400),
+        (valid.replace("2000m", "soon"), 400),
+        (valid.replace("2000m", "-5m"), 400),
+        (valid.replace("2000m", "0m"), 400),
+        (valid.replace("2000m", "99999999999999999999999m"), 400),
+        (post_request("/read", "2000m", ""), 405),
+        (get_request("/save", "2000m"), 405),
+        (post_request("/save", "2000m", "").replace("Idempotency-Key: k1\r\n", ""), 400),
+        (post_request("/pay", "2000m", "").replace("Content-Length: 0", "Content-Length: 65537"), 413),
+        ("what is this\r\n\r\n".to_owned(), 400),
+    ]
+    .map(|(text, status)| InvalidRequest { text, status })
+    .into()
 }
 
 #[tokio::test]
 async fn invalid_requests_are_rejected_and_not_forwarded() {
-    let mut backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
-    let directory = Directory::start(Mood::Mute).await;
-    let agent = Agent::start(directory.address, &[host("s", backend.address, "up")]).await;
-    let good = request("GET", "/read", "2000m", "");
-    let bad = [
-        (good.replace("/read", "/nowhere"), 404),
-        (good.replace("Class: read", "Class: save"), 400),
-        (good.replace("X-Priority-Class: read\r\n", ""), 400),
-        (good.replace("acme", "nobody"), 400),
-        (good.replace("X-Tenant-Id: acme\r\n", ""), 400),
-        (good.replace("X-Request-ID: id", "X-Other: id"), 400),
-        (good.replace("X-Timeout: 2000m\r\n", ""), 400),
-        (good.replace("2000m", "soon"), 400),
-        (good.replace("2000m", "-5m"), 400),
-        (good.replace("2000m", "0m"), 400),
-        (good.replace("2000m", "99999999999999999999999m"), 400),
-        (request("POST", "/read", "2000m", ""), 405),
-        (request("GET", "/save", "2000m", ""), 405),
-        (request("POST", "/save", "2000m", "").replace("Idempotency-Key: k1\r\n", ""), 400),
-        (request("POST", "/pay", "2000m", "").replace("Content-Length: 0", "Content-Length: 65537"), 413),
-        ("what is this\r\n\r\n".to_owned(), 400),
-    ];
-    for (bytes, status) in bad {
-        assert_eq!(agent.client().await.ask(&bytes).await.status(), status, "{bytes}");
+    let mut server = TestServer::responding_with("x").await;
+    let (_discovery, agent) = start_agent(server.address).await;
+
+    for invalid in invalid_requests() {
+        assert_eq!(agent.exchange(&invalid.text).await.status(), invalid.status, "{}", invalid.text);
     }
     let chunk = "8000\r\n".to_owned() + &"x".repeat(0x8000) + "\r\n";
-    let chunked =
-        request("POST", "/pay", "2000m", "").replace("Content-Length: 0", "Transfer-Encoding: chunked");
-    let answer = agent.client().await.ask(&(chunked + &chunk + &chunk + &chunk + "0\r\n\r\n")).await;
-    assert_eq!(answer.status(), 413);
-    let largest = "b".repeat(64 << 10);
-    assert_eq!(agent.client().await.ask(&request("POST", "/pay", "2000m", &largest)).await.status(), 200);
-    assert_eq!(backend.next().await.body.len(), 64 << 10);
-    assert!(backend.seen.try_recv().is_err(), "a bad request went on");
+    let too_many_chunks = chunk.repeat(3) + "0\r\n\r\n";
+    let response = agent.exchange(&chunked_post_request("/pay", "2000m", &too_many_chunks)).await;
+    assert_eq!(response.status(), 413);
+
+    let largest_body = "b".repeat(MAX_BODY_BYTES);
+    assert_eq!(agent.exchange(&post_request("/pay", "2000m", &largest_body)).await.status(), 200);
+    assert_eq!(server.next_request().await.body.len(), MAX_BODY_BYTES);
+    assert!(!server.has_further_request(), "an invalid request was forwarded");
 }
 
-/// A length that two readers read in two ways hides a second request from one of them. It goes nowhere, and
-/// nothing behind it is taken for a request.
+/// A length that two readers read in two ways hides a second request from one of them. It is not forwarded,
+/// and nothing behind it is taken for a request.
 #[tokio::test]
 async fn a_request_of_ambiguous_length_is_rejected_and_its_connection_closed() {
-    let (mut backend, _directory, agent) = world(1024).await;
-    let inner = request("GET", "/read/hidden", "2000m", "");
-    let plain = |lines: &str| {
-        let whole = request("POST", "/pay", "2000m", "");
-        whole.replace("Content-Length: 0\r\n", lines)
-    };
-    for lines in [
+    let mut server = TestServer::responding_with("x").await;
+    let (_discovery, agent) = start_agent(server.address).await;
+    let hidden_request = get_request("/read/hidden", "2000m");
+
+    for ambiguous_headers in [
         "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
         "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
         "Content-Length: 0\r\nContent-Length: 0\r\n",
@@ -71,49 +74,49 @@
         "Content-Length: -5\r\n",
         "Transfer-Encoding: identity\r\n",
     ] {
-        let mut client = agent.client().await;
-        client.send(&format!("{}0\r\n\r\n{inner}", plain(lines))).await;
-        assert_eq!(client.answer().await.status(), 400, "{lines}");
-        client.closed().await;
+        let request = post_request("/pay", "2000m", "").replace("Content-Length: 0\r\n", ambiguous_headers);
+        let mut client = agent.send_request(&format!("{request}0\r\n\r\n{hidden_request}")).await;
+        assert_eq!(client.receive().await.status(), 400, "{ambiguous_headers}");
+        client.wait_for_close().await;
     }
-    assert!(backend.seen.try_recv().is_err(), "something went on");
-    // A chunked body alone is plain; its request is served.
-    let chunked = plain("Transfer-Encoding: chunked\r\n") + "2\r\nab\r\n0\r\n\r\n";
-    assert_eq!(agent.client().await.ask(&chunked).await.status(), 200);
-    assert_eq!(backend.next().await.body, b"ab");
+    assert!(!server.has_further_request(), "something was forwarded");
+
+    // A chunked body alone is unambiguous; its request is served.
+    let chunked = chunked_post_request("/pay", "2000m", "2\r\nab\r\n0\r\n\r\n");
+    assert_eq!(agent.exchange(&chunked).await.status(), 200);
+    assert_eq!(server.next_request().await.body, b"ab");
 }
 
-/// An endless head and an endless body end early, and take no memory.
+/// An endless head and an endless body are given up early, and take no memory.
 #[tokio::test]
 async fn oversized_headers_and_bodies_are_rejected_early() {
-    let (_backend, _directory, agent) = world(1024).await;
-    let mut client = agent.client().await;
+    let server = TestServer::responding_with("x").await;
+    let (_discovery, agent) = start_agent(server.address).await;
+
     let head = "GET /read HTTP/1.1\r\n".to_owned() + &"X-Filler: y\r\n".repeat(50) + "X-Long: ";
-    client.send(&(head + &"z".repeat(20 << 10))).await;
-    assert_eq!(client.answer().await.status(), 431);
-    let mut client = agent.client().await;
-    let large = request("POST", "/pay", "2000m", "").replace("Content-Length: 0", "Content-Length: 60000000");
-    client.send(&large).await;
-    assert_eq!(client.answer().await.status(), 413);
-    client.closed().await;
+    let mut client = agent.send_request(&(head + &"z".repeat(20 << 10))).await;
+    assert_eq!(client.receive().await.status(), 431);
+
+    let large = post_request("/pay", "2000m", "").replace("Content-Length: 0", "Content-Length: 60000000");
+    let mut client = agent.send_request(&large).await;
+    assert_eq!(client.receive().await.status(), 413);
+    client.wait_for_close().await;
 }
 
-/// A second request under an id that is open is turned away; the first one is served, and the id is free again.
+/// A second request under an id that is in flight is rejected; the first one is served.
 #[tokio::test]
 async fn a_request_id_that_is_in_flight_is_rejected() {
-    let word = Arc::new(Notify::new());
-    let gate = word.clone();
-    let mut backend = Backend::start(move |_| Reply::When(gate.clone(), ok("first"))).await;
-    let directory = Directory::start(Mood::Mute).await;
-    let agent = Agent::start(directory.address, &[host("s", backend.address, "up")]).await;
-    let text = request("POST", "/pay", "20000m", "b");
-    let mut first = agent.client().await;
-    first.send(&text).await;
-    backend.next().await;
-    let mut second = agent.client().await;
-    assert_eq!(second.ask(&text).await.status(), 409);
-    second.closed().await;
-    word.notify_one();
-    assert_eq!(first.answer().await.body, b"first");
-    assert!(backend.seen.try_recv().is_err(), "sent twice");
+    let (mut server, gate) = TestServer::holding_responses("first").await;
+    let (_discovery, agent) = start_agent(server.address).await;
+    let request = post_request("/pay", "20000m", "b");
+    let mut first = agent.send_request(&request).await;
+    server.next_request().await;
+
+    let mut second = agent.send_request(&request).await;
+    assert_eq!(second.receive().await.status(), 409);
+    second.wait_for_close().await;
+
+    gate.release_one();
+    assert_eq!(first.receive().await.body, b"first");
+    assert!(!server.has_further_request(), "sent twice");
 }
