--- a/crates/balancer-agent/tests/attempts_and_retries.rs
+++ b/crates/balancer-agent/tests/attempts_and_retries.rs
@@ -38,14 +38,7 @@
 /// retried nor rejected, for after a rejection the client would repeat it.
 #[tokio::test]
 async fn an_unsafe_request_is_not_retried_after_a_reset_behind_its_last_byte() {
-    let mut server = TestServer::start(|_| ServerReply::Close(Vec::new())).await;
-    let (_discovery, agent) = start_agent(server.address).await;
-
-    let response = agent.exchange(&post_request("/pay", "2000m", "b")).await;
-
-    assert_eq!(response.status(), 502);
-    server.next_request().await;
-    assert!(!server.has_further_request(), "sent twice");
+    assert_not_retried(ServerReply::Close(Vec::new())).await;
 }
 
 /// After a refused connect a request was not processed, whatever its class.
@@ -68,7 +61,12 @@
 /// that did.
 #[tokio::test]
 async fn an_unsafe_request_is_not_retried_after_a_plain_503() {
-    let mut server = TestServer::start(|_| ServerReply::KeepOpen(PLAIN_503.to_vec())).await;
+    assert_not_retried(ServerReply::KeepOpen(PLAIN_503.to_vec())).await;
+}
+
+/// Asserts that an unsafe request to which the only server replies so is sent once, and answered as failed.
+async fn assert_not_retried(reply: ServerReply) {
+    let mut server = TestServer::start(move |_| reply.clone()).await;
     let (_discovery, agent) = start_agent(server.address).await;
 
     let response = agent.exchange(&post_request("/pay", "2000m", "b")).await;
--- a/crates/balancer-agent/tests/client_connections.rs
+++ b/crates/balancer-agent/tests/client_connections.rs
@@ -7,7 +7,7 @@
 use common::discovery::{up_entry, TestDiscovery};
 use common::messages::{chunked_post_request, get_request, ok_response, post_request};
 use common::server::{ServerReply, TestServer};
-use common::setup::{start_agent, start_configured_agent, SERVER_NAME};
+use common::setup::{start_agent, start_agent_with_few_sockets, SERVER_NAME};
 use std::process::Stdio;
 use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
@@ -71,8 +71,7 @@
 #[tokio::test]
 async fn idle_and_silent_connections_are_closed_to_make_room() {
     let server = TestServer::responding_with("x").await;
-    let (_discovery, agent) =
-        start_configured_agent(server.address, |config| config.with_socket_limit(80)).await;
+    let (_discovery, agent) = start_agent_with_few_sockets(server.address).await;
 
     let mut clients = Vec::new();
     for _ in 0..60 {
@@ -91,8 +90,7 @@
 async fn a_connection_with_an_open_request_is_not_closed_to_make_room() {
     let other_reply = ServerReply::KeepOpen(ok_response("x"));
     let (mut server, gate) = TestServer::holding_payments(ok_response("paid"), other_reply).await;
-    let (_discovery, agent) =
-        start_configured_agent(server.address, |config| config.with_socket_limit(80)).await;
+    let (_discovery, agent) = start_agent_with_few_sockets(server.address).await;
     let mut paying_client = agent.send_request(&post_request("/pay", "60000m", "b")).await;
     server.next_request().await;
 
@@ -121,8 +119,7 @@
 #[tokio::test]
 async fn a_flood_of_excess_bytes_exhausts_neither_connections_nor_memory() {
     let mut server = TestServer::responding_with("x").await;
-    let (_discovery, agent) =
-        start_configured_agent(server.address, |config| config.with_socket_limit(80)).await;
+    let (_discovery, agent) = start_agent_with_few_sockets(server.address).await;
     let excess = vec![b'x'; 256 << 10];
 
     for number in 0..100 {
--- a/crates/balancer-agent/tests/client_disconnects.rs
+++ b/crates/balancer-agent/tests/client_disconnects.rs
@@ -119,7 +119,7 @@
     for disconnect in DISCONNECTS {
         let (mut server, gate) = TestServer::holding_responses("x").await;
         let (_discovery, agent) = start_agent(server.address).await;
-        // As many as the server is thought to bear at first.
+        // They fill the estimated capacity of a new server.
         let mut first_clients = Vec::new();
         for _ in 0..2 {
             first_clients.push(agent.send_request(&post_request("/pay/first", "60000m", "b")).await);
--- a/crates/balancer-agent/tests/common/agent.rs
+++ b/crates/balancer-agent/tests/common/agent.rs
@@ -17,6 +17,7 @@
 pub struct Agent {
     /// Where it listens.
     pub address: SocketAddr,
+    /// Its process.
     pub process: Child,
     config_file: ConfigFile,
 }
--- a/crates/balancer-agent/tests/common/client.rs
+++ b/crates/balancer-agent/tests/common/client.rs
@@ -8,6 +8,7 @@
 
 /// The client's side of a connection.
 pub struct Client {
+    /// The connection itself, for tests that read, write or close in ways of their own.
     pub stream: TcpStream,
 }
 
--- a/crates/balancer-agent/tests/common/config.rs
+++ b/crates/balancer-agent/tests/common/config.rs
@@ -33,41 +33,49 @@
         }))
     }
 
+    /// Listens at this address.
     pub fn with_listen_address(mut self, address: &str) -> Self {
         self.0["listen"] = address.into();
         self
     }
 
+    /// Calls the discovery at this address.
     pub fn with_discovery(mut self, address: SocketAddr) -> Self {
         self.0["discovery"] = address.to_string().into();
         self
     }
 
+    /// The version of the known endpoint list.
     pub fn with_known_version(mut self, version: u64) -> Self {
         self.0["known"]["seq"] = version.into();
         self
     }
 
+    /// How many sockets the agent may have open.
     pub fn with_socket_limit(mut self, sockets: usize) -> Self {
         self.0["limits"]["sockets"] = sockets.into();
         self
     }
 
+    /// Discovery that sends its changes without being asked, as the simulator's can.
     pub fn with_pushed_discovery(mut self) -> Self {
         self.0["settings"]["discovery"] = "pushed".into();
         self
     }
 
+    /// How long a connect to a server may take.
     pub fn with_connect_timeout_ms(mut self, milliseconds: u64) -> Self {
         self.0["settings"]["limits"]["connectTimeoutMs"] = milliseconds.into();
         self
     }
 
+    /// After how long servers close an idle connection.
     pub fn with_keep_alive_ms(mut self, milliseconds: u64) -> Self {
         self.0["settings"]["limits"]["keepaliveMs"] = milliseconds.into();
         self
     }
 
+    /// Whether rejected clients may be told when to come back.
     pub fn with_retry_after(mut self, is_allowed: bool) -> Self {
         self.0["settings"]["limits"]["retryAfter"] = is_allowed.into();
         self
@@ -86,14 +94,17 @@
             .fold(self, |config, class| config.with_deadline_ms(class, LONG_DEADLINE_MS))
     }
 
+    /// The longest that a request of the class may take.
     pub fn with_deadline_ms(self, class: RequestClass, milliseconds: u64) -> Self {
         self.with_class_setting(class, "deadlineMs", milliseconds)
     }
 
+    /// How soon a request of the class ought to be answered.
     pub fn with_latency_objective_ms(self, class: RequestClass, milliseconds: u64) -> Self {
         self.with_class_setting(class, "aimMs", milliseconds)
     }
 
+    /// How long servers recognise a repeat of a request of the class.
     pub fn with_deduplication_window_ms(self, class: RequestClass, milliseconds: u64) -> Self {
         self.with_class_setting(class, "dedupWindowMs", milliseconds)
     }
@@ -144,6 +155,7 @@
         std::fs::write(&self.0, text).expect("a file");
     }
 
+    /// Where the file is.
     pub fn path(&self) -> &Path {
         &self.0
     }
--- a/crates/balancer-agent/tests/common/discovery.rs
+++ b/crates/balancer-agent/tests/common/discovery.rs
@@ -17,8 +17,11 @@
 /// What an endpoint list says of a server.
 #[derive(Clone, Copy)]
 pub enum Health {
+    /// It takes requests.
     Up,
+    /// It finishes what it has and takes nothing new.
     Draining,
+    /// It is gone.
     Removed,
 }
 
--- a/crates/balancer-agent/tests/common/setup.rs
+++ b/crates/balancer-agent/tests/common/setup.rs
@@ -9,6 +9,9 @@
 /// The name of the one server in the agent's known endpoint list.
 pub const SERVER_NAME: &str = "s";
 
+/// So few sockets that the clients of a test can take them all.
+pub const FEW_SOCKETS: usize = 80;
+
 /// Counted from SIGTERM: past the time in which new connections are accepted, and well before SIGKILL with
 /// deadlines of 3 s.
 pub const AFTER_LAST_ACCEPT: Duration = Duration::from_millis(1_000);
@@ -18,6 +21,11 @@
     start_configured_agent(server, |config| config).await
 }
 
+/// The same, with [`FEW_SOCKETS`].
+pub async fn start_agent_with_few_sockets(server: SocketAddr) -> (TestDiscovery, Agent) {
+    start_configured_agent(server, |config| config.with_socket_limit(FEW_SOCKETS)).await
+}
+
 /// The same, with the configuration adapted.
 pub async fn start_configured_agent(
     server: SocketAddr,
--- a/crates/balancer-agent/tests/common/sockets.rs
+++ b/crates/balancer-agent/tests/common/sockets.rs
@@ -6,6 +6,7 @@
 
 /// An address that refuses connections. Its port stays reserved, or another test might soon listen there.
 pub struct RefusingAddress {
+    /// The address.
     pub address: SocketAddr,
     _reserved: TcpSocket,
 }
@@ -20,6 +21,7 @@
 
 /// A listener whose backlog is full: a connect to it stays in progress until there is room.
 pub struct FullListener {
+    /// Where it listens.
     pub address: SocketAddr,
     listener: TcpListener,
     fillers: [TcpStream; 2],
--- a/crates/balancer-agent/tests/connection_close.rs
+++ b/crates/balancer-agent/tests/connection_close.rs
@@ -7,7 +7,7 @@
 use common::kernel::is_close_unacknowledged;
 use common::messages::{get_request, ok_response};
 use common::server::{ServerReply, TestServer};
-use common::setup::{start_configured_agent, AFTER_LAST_ACCEPT};
+use common::setup::{start_agent_with_few_sockets, start_configured_agent, AFTER_LAST_ACCEPT, FEW_SOCKETS};
 use common::sockets::small_buffer_connection;
 use common::within_time_limit;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -35,8 +35,7 @@
 #[tokio::test]
 async fn responses_close_their_connections_when_connections_run_short() {
     let server = TestServer::responding_with("x").await;
-    let (_discovery, agent) =
-        start_configured_agent(server.address, |config| config.with_socket_limit(80)).await;
+    let (_discovery, agent) = start_agent_with_few_sockets(server.address).await;
 
     let mut kept = Vec::new();
     loop {
@@ -48,7 +47,7 @@
             break;
         }
         kept.push(client);
-        assert!(kept.len() < 80, "more than the agent has descriptors");
+        assert!(kept.len() < FEW_SOCKETS, "more than the agent has descriptors");
     }
     assert!(kept.len() >= 5, "few connections are all kept");
 }
@@ -62,9 +61,10 @@
     })
     .await;
     // With a quarter of the room taken, the first that are idle are closed after 2.05 s.
-    let (_discovery, agent) =
-        start_configured_agent(server.address, |config| config.with_long_deadlines().with_socket_limit(80))
-            .await;
+    let (_discovery, agent) = start_configured_agent(server.address, |config| {
+        config.with_long_deadlines().with_socket_limit(FEW_SOCKETS)
+    })
+    .await;
     let mut slow_client = connect_slow_client(&agent).await;
 
     let mut idle_clients = Vec::new();
--- a/crates/balancer-agent/tests/graceful_shutdown.rs
+++ b/crates/balancer-agent/tests/graceful_shutdown.rs
@@ -7,7 +7,7 @@
 use common::config::{AgentConfig, RequestClass};
 use common::messages::{get_request, ok_response, post_request, read_message, Message};
 use common::server::{ServerReply, TestServer};
-use common::setup::{start_agent, start_configured_agent, AFTER_LAST_ACCEPT};
+use common::setup::{start_agent, start_configured_agent, AFTER_LAST_ACCEPT, FEW_SOCKETS};
 use common::within_time_limit;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -137,7 +137,7 @@
     let other_reply = ServerReply::KeepOpen(ok_response("x"));
     let (mut server, gate) = TestServer::holding_payments(ok_response("x"), other_reply).await;
     let (_discovery, mut agent) = start_configured_agent(server.address, |config| {
-        let config = config.with_long_deadlines().with_socket_limit(80);
+        let config = config.with_long_deadlines().with_socket_limit(FEW_SOCKETS);
         // With this objective they are queued for long.
         config.with_latency_objective_ms(RequestClass::Read, 30_000)
     })
@@ -147,7 +147,7 @@
         clients.push(agent.send_request(&post_request("/pay", "60000m", "b")).await);
         server.next_request().await;
     }
-    // 26 are queued, for the server has all that it is thought to bear, and 4 are not accepted yet.
+    // 26 are queued, for the server is at its estimated capacity, and 4 are not accepted yet.
     for _ in 0..26 + 4 {
         clients.push(agent.send_request(&get_request("/read", "60000m")).await);
     }
--- a/crates/balancer-agent/tests/server_responses.rs
+++ b/crates/balancer-agent/tests/server_responses.rs
@@ -13,21 +13,19 @@
 /// A part of a body must never pass for the whole.
 #[tokio::test]
 async fn a_truncated_response_fails_its_attempt() {
-    let truncated = b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf";
-    let server = TestServer::start(|_| ServerReply::Close(truncated.to_vec())).await;
-    let (_discovery, agent) = start_agent(server.address).await;
-
-    let response = agent.exchange(&post_request("/pay", "2000m", "b")).await;
-
-    assert_eq!(response.status(), 502);
+    assert_attempt_fails(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf").await;
 }
 
 /// Where neither a length nor chunks tell of a response's end, a truncated one cannot be told from a whole
 /// one.
 #[tokio::test]
 async fn a_response_of_unknown_length_fails_its_attempt() {
-    let without_length = b"HTTP/1.1 200 OK\r\n\r\nperhaps a part";
-    let server = TestServer::start(|_| ServerReply::Close(without_length.to_vec())).await;
+    assert_attempt_fails(b"HTTP/1.1 200 OK\r\n\r\nperhaps a part").await;
+}
+
+/// Asserts that a request whose server sends these bytes and closes is answered as failed.
+async fn assert_attempt_fails(response_bytes: &'static [u8]) {
+    let server = TestServer::start(|_| ServerReply::Close(response_bytes.to_vec())).await;
     let (_discovery, agent) = start_agent(server.address).await;
 
     let response = agent.exchange(&post_request("/pay", "2000m", "b")).await;
@@ -72,8 +70,8 @@
     ]
 }
 
-/// Each is an attempt that may have been processed, ends soon, and its connection, which the server leaves
-/// open, is closed.
+/// Each response ends its attempt soon, as one that may have been processed. Its connection, which the server
+/// leaves open, is closed.
 #[tokio::test]
 async fn a_malformed_or_oversized_response_fails_its_attempt_and_closes_its_connection() {
     let responses = malformed_responses();
