--- a/crates/balancer-agent/tests/attempts_and_retries.rs
+++ b/crates/balancer-agent/tests/attempts_and_retries.rs
@@ -186,7 +186,7 @@
 
         let written = within_time_limit("its end", read_message(&mut stream, 0)).await;
         assert!(written.is_none(), "{change:?}: {}", written.expect("a message").first_line());
-        // The new incarnation may get the request as well.
+        // The request may go to the new incarnation instead, which nobody answers for here.
         if change != ServerChange::NewIncarnation {
             assert_eq!(client.receive().await.body, b"other", "{change:?}");
             other_server.next_request().await;
