--- /dev/null
+++ b/crates/balancer-agent/tests/client_disconnects.rs
@@ -0,0 +1,180 @@
+//! Clients that disconnect while their requests are open: what has not been sent by then stays unsent.
+
+mod common;
+use common::agent::Agent;
+use common::client::Client;
+use common::kernel::wait_for_connect_in_progress;
+use common::messages::{
+    chunked_post_request, get_request, ok_response, post_request, read_message, NOT_PROCESSED_503,
+};
+use common::server::{ServerReply, TestServer};
+use common::setup::{start_agent, start_configured_agent};
+use common::sockets::FullListener;
+use common::within_time_limit;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+
+/// How a client disconnects, and how many bytes it sends behind its request before.
+#[derive(Clone, Copy)]
+struct Disconnect {
+    description: &'static str,
+    excess_bytes: usize,
+    is_reset: bool,
+}
+
+const DISCONNECTS: [Disconnect; 6] = [
+    Disconnect { description: "a close", excess_bytes: 0, is_reset: false },
+    Disconnect { description: "a reset", excess_bytes: 0, is_reset: true },
+    Disconnect { description: "a close behind a few bytes", excess_bytes: 5, is_reset: false },
+    Disconnect { description: "a reset behind a few bytes", excess_bytes: 5, is_reset: true },
+    Disconnect { description: "a close behind a burst", excess_bytes: 200 << 10, is_reset: false },
+    Disconnect { description: "a reset behind a burst", excess_bytes: 200 << 10, is_reset: true },
+];
+
+impl Disconnect {
+    /// Disconnects the client; the agent has seen it when this returns.
+    async fn apply(self, agent: &Agent, mut client: Client) {
+        let Disconnect { description, excess_bytes, is_reset } = self;
+        let written = client.stream.write_all(&vec![b'x'; excess_bytes]).await;
+        written.unwrap_or_else(|error| panic!("{description}: not read: {error}"));
+        if is_reset {
+            client.stream.set_zero_linger().expect("an option");
+            drop(client);
+        } else {
+            client.stream.shutdown().await.expect("the client disconnects");
+            client.wait_for_close().await;
+        }
+        // A later event than the client's end, on the one thread that the agent has.
+        assert_eq!(agent.readiness_status().await, 200, "{description}");
+    }
+}
+
+/// An attempt that is in flight goes on, its outcome counts, and its connection serves the next request.
+#[tokio::test]
+async fn an_attempt_in_flight_completes_and_its_connection_is_reused() {
+    // Not to be used again, so that the first connection is the only one that can be.
+    let closing = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n".to_vec();
+    let (mut server, gate) =
+        TestServer::holding_payments(ok_response("x"), ServerReply::KeepOpen(closing)).await;
+    let (_discovery, agent) = start_agent(server.address).await;
+    let mut client = agent.send_request(&post_request("/pay", "2000m", "b")).await;
+    assert_eq!(server.next_request().await.connection, 0);
+
+    client.stream.shutdown().await.expect("the client disconnects");
+    client.wait_for_close().await;
+    gate.release_one();
+
+    // The response must have come back to the agent before its connection can serve again.
+    within_time_limit("the connection's second use", async {
+        loop {
+            assert_eq!(agent.exchange(&get_request("/read", "2000m")).await.status(), 200);
+            if server.next_request().await.connection == 0 {
+                return;
+            }
+        }
+    })
+    .await;
+}
+
+/// The request has been sent, its client disconnects, and then the request is rejected as not processed: it
+/// would be retried.
+#[tokio::test]
+async fn a_request_is_not_retried_after_its_client_disconnects() {
+    for disconnect in DISCONNECTS {
+        assert_not_retried(post_request("/pay", "60000m", "b"), disconnect).await;
+        assert_not_retried(chunked_post_request("/pay", "60000m", "1\r\nb\r\n0\r\n\r\n"), disconnect).await;
+    }
+}
+
+async fn assert_not_retried(request: String, disconnect: Disconnect) {
+    // The connections of other requests are not to be used again, so that the first one is the only one that
+    // can be.
+    let other_reply = ServerReply::Close(ok_response("x"));
+    let (mut server, gate) = TestServer::holding_payments(NOT_PROCESSED_503.to_vec(), other_reply).await;
+    let (_discovery, agent) = start_agent(server.address).await;
+    let client = agent.send_request(&request).await;
+    assert_eq!(server.next_request().await.body, b"b");
+
+    disconnect.apply(&agent, client).await;
+    gate.release_one();
+
+    // Its first connection is free again once the outcome is known; nothing else has come by then.
+    within_time_limit("the connection's second use", async {
+        loop {
+            assert_eq!(agent.get("/read").await.status(), 200);
+            let request = server.next_request().await;
+            let line = request.first_line();
+            assert!(line.starts_with("GET /read"), "{}: {line}", disconnect.description);
+            if request.connection == 0 {
+                return;
+            }
+        }
+    })
+    .await;
+}
+
+/// The request waits for capacity at the only server. Capacity comes after its client has disconnected.
+#[tokio::test]
+async fn a_queued_request_is_not_sent_after_its_client_disconnects() {
+    for disconnect in DISCONNECTS {
+        let (mut server, gate) = TestServer::holding_responses("x").await;
+        let (_discovery, agent) = start_agent(server.address).await;
+        // They fill the estimated capacity of a new server.
+        let mut first_clients = Vec::new();
+        for _ in 0..2 {
+            first_clients.push(agent.send_request(&post_request("/pay/first", "60000m", "b")).await);
+            server.next_request().await;
+        }
+        let client = agent.send_request(&post_request("/pay/left", "60000m", "b")).await;
+
+        disconnect.apply(&agent, client).await;
+        gate.release_one();
+        gate.release_one();
+        let _last_client = agent.send_request(&post_request("/pay/last", "60000m", "b")).await;
+
+        let next = server.next_request().await;
+        assert_eq!(next.first_line(), "POST /pay/last HTTP/1.1", "{}", disconnect.description);
+        gate.release_waiting();
+        assert!(!server.has_further_request(), "{}: more was sent", disconnect.description);
+    }
+}
+
+/// The connect is in progress, to an address that accepts no connection until its backlog has room.
+#[tokio::test]
+async fn a_request_is_not_sent_if_its_client_drops_the_connection_during_the_connect() {
+    let listener = FullListener::start().await;
+    let (_discovery, agent) =
+        start_configured_agent(listener.address, |config| config.with_connect_timeout_ms(10_000)).await;
+    let client = agent.send_request(&post_request("/pay", "60000m", "b")).await;
+    wait_for_connect_in_progress(listener.address).await;
+
+    drop(client);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let mut stream = listener.accept_waiting_connection().await;
+
+    // It serves the next request, so the first one's bytes would have come before these.
+    let _next_client = agent.send_request(&get_request("/read/next", "60000m")).await;
+    let next = within_time_limit("the next request", read_message(&mut stream, 0)).await;
+    assert_eq!(next.expect("a request").first_line(), "GET /read/next HTTP/1.1");
+}
+
+/// The same for each way to disconnect, of which the agent knows before the connect succeeds.
+#[tokio::test]
+async fn a_request_is_not_sent_however_its_client_disconnects_during_the_connect() {
+    for disconnect in DISCONNECTS {
+        let listener = FullListener::start().await;
+        let (_discovery, agent) =
+            start_configured_agent(listener.address, |config| config.with_connect_timeout_ms(20_000)).await;
+        let client = agent.send_request(&post_request("/pay/left", "60000m", "b")).await;
+        wait_for_connect_in_progress(listener.address).await;
+
+        disconnect.apply(&agent, client).await;
+        let mut stream = listener.accept_waiting_connection().await;
+
+        // It serves the next request, so the first one's bytes would have come before these.
+        let _next_client = agent.send_request(&post_request("/pay/next", "60000m", "b")).await;
+        let next = within_time_limit("the next request", read_message(&mut stream, 0)).await;
+        let next = next.expect("a request");
+        assert_eq!(next.first_line(), "POST /pay/next HTTP/1.1", "{}", disconnect.description);
+    }
+}
--- /dev/null
+++ b/crates/balancer-agent/tests/connection_close.rs
@@ -0,0 +1,125 @@
+//! When the agent closes a client connection, and that no response is cut off by the close.
+
+mod common;
+use common::agent::Agent;
+use common::client::Client;
+use common::config::AgentConfig;
+use common::kernel::is_close_unacknowledged;
+use common::messages::{get_request, ok_response};
+use common::server::{ServerReply, TestServer};
+use common::setup::{start_agent_with_few_sockets, start_configured_agent, AFTER_LAST_ACCEPT, FEW_SOCKETS};
+use common::sockets::small_buffer_connection;
+use common::within_time_limit;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::time::sleep;
+
+const LARGE_BODY_BYTES: usize = 64 << 10;
+
+fn large_body() -> String {
+    "x".repeat(LARGE_BODY_BYTES)
+}
+
+/// A client that takes in next to nothing until it reads, and waits for a response that does not fit.
+async fn connect_slow_client(agent: &Agent) -> Client {
+    let mut client = Client { stream: small_buffer_connection(agent.address).await };
+    client.send(&get_request("/read/large", "60000m")).await;
+    let mut first_byte = [0];
+    within_time_limit("a response", client.stream.peek(&mut first_byte))
+        .await
+        .expect("the response has begun");
+    client
+}
+
+/// Where clients leave one connection behind after the other, faster than idle ones grow old, a response
+/// closes its connection and says so; with few connections none does.
+#[tokio::test]
+async fn responses_close_their_connections_when_connections_run_short() {
+    let server = TestServer::responding_with("x").await;
+    let (_discovery, agent) = start_agent_with_few_sockets(server.address).await;
+
+    let mut kept = Vec::new();
+    loop {
+        let mut client = agent.connect().await;
+        let response = client.exchange(&get_request("/read", "20000m")).await;
+        assert_eq!(response.status(), 200);
+        if response.header("connection") == Some("close") {
+            client.wait_for_close().await;
+            break;
+        }
+        kept.push(client);
+        assert!(kept.len() < FEW_SOCKETS, "more than the agent has descriptors");
+    }
+    assert!(kept.len() >= 5, "few connections are all kept");
+}
+
+/// A connection whose response is being sent is not idle, and no room is made by closing it.
+#[tokio::test]
+async fn a_connection_with_an_unfinished_response_is_not_idle() {
+    let server = TestServer::start(|request| match request.head.contains("/large") {
+        true => ServerReply::KeepOpen(ok_response(&large_body())),
+        false => ServerReply::KeepOpen(ok_response("x")),
+    })
+    .await;
+    // With a quarter of the room taken, the first that are idle are closed after 2.05 s.
+    let (_discovery, agent) = start_configured_agent(server.address, |config| {
+        config.with_long_deadlines().with_socket_limit(FEW_SOCKETS)
+    })
+    .await;
+    let mut slow_client = connect_slow_client(&agent).await;
+
+    let mut idle_clients = Vec::new();
+    for _ in 0..9 {
+        let mut client = agent.connect().await;
+        assert_eq!(client.exchange(&get_request("/read", "60000m")).await.status(), 200);
+        idle_clients.push(client);
+    }
+    for client in idle_clients.iter_mut().take(2) {
+        client.wait_for_close().await;
+    }
+
+    let response = slow_client.receive().await;
+    assert_eq!((response.status(), response.body.len()), (200, LARGE_BODY_BYTES));
+}
+
+/// A response that its client has not received yet is not finished: the agent does not exit before it is.
+#[tokio::test]
+async fn a_slow_client_receives_its_response_before_the_agent_exits() {
+    let server = TestServer::responding_with(&large_body()).await;
+    let (_discovery, mut agent) =
+        start_configured_agent(server.address, AgentConfig::with_long_deadlines).await;
+    let mut client = connect_slow_client(&agent).await;
+
+    agent.send_sigterm().await;
+    sleep(AFTER_LAST_ACCEPT).await;
+
+    let response = client.receive().await;
+    assert_eq!((response.status(), response.body.len()), (200, LARGE_BODY_BYTES));
+    client.wait_for_close().await;
+    assert!(agent.wait_for_exit().await.success());
+}
+
+/// The agent has written its last response and closes, and the client still sends: a close over bytes that
+/// nobody reads would reset the connection, and what its client has not received by then would be lost.
+#[tokio::test]
+async fn a_response_survives_request_bytes_that_arrive_during_the_close() {
+    let server = TestServer::responding_with(&large_body()).await;
+    let (_discovery, mut agent) =
+        start_configured_agent(server.address, AgentConfig::with_long_deadlines).await;
+    let mut client = connect_slow_client(&agent).await;
+    let client_address = client.stream.local_addr().expect("an address");
+
+    agent.send_sigterm().await;
+    let mut response = Vec::new();
+    let mut part = [0; 64];
+    while !is_close_unacknowledged(agent.address, client_address) {
+        let read = within_time_limit("more of the response", client.stream.read(&mut part)).await;
+        response.extend_from_slice(&part[..read.expect("the response is cut")]);
+    }
+    client.stream.write_all(b"x").await.expect("it is written");
+
+    within_time_limit("the rest of the response", client.stream.read_to_end(&mut response))
+        .await
+        .expect("the response is cut");
+    assert!(response.ends_with(large_body().as_bytes()), "{} bytes came", response.len());
+    assert!(agent.wait_for_exit().await.success());
+}
--- /dev/null
+++ b/crates/balancer-agent/tests/readiness_and_start.rs
@@ -0,0 +1,78 @@
+//! How the agent starts, when it reports that it is ready, and how it restarts after it was killed.
+
+mod common;
+use common::agent::{agent_command, Agent};
+use common::config::{AgentConfig, ConfigFile};
+use common::discovery::{up_entry, DiscoveryBehavior, TestDiscovery};
+use common::messages::get_request;
+use common::server::TestServer;
+use common::setup::SERVER_NAME;
+use common::sockets::RefusingAddress;
+use common::within_time_limit;
+
+#[tokio::test]
+async fn the_agent_becomes_ready_when_discovery_lists_a_server() {
+    let server = TestServer::responding_with("x").await;
+    let mut discovery = TestDiscovery::silent().await;
+    let agent = Agent::start(&AgentConfig::new(discovery.address, &[])).await;
+    assert_eq!(agent.readiness_status().await, 503);
+
+    discovery.next_call().await;
+    discovery.publish(2, &[up_entry(SERVER_NAME, server.address)]);
+
+    agent.wait_until_ready().await;
+    assert_eq!(agent.get("/read").await.status(), 200);
+}
+
+/// A restarted agent has the list that it had before, and serves by it while discovery is silent, down or
+/// gone.
+#[tokio::test]
+async fn an_agent_with_a_known_endpoint_list_is_ready_whatever_discovery_does() {
+    let server = TestServer::responding_with("x").await;
+    let silent = TestDiscovery::silent().await;
+    let failing = TestDiscovery::start(DiscoveryBehavior::Fail).await;
+    let gone = RefusingAddress::reserve();
+
+    for discovery_address in [silent.address, failing.address, gone.address] {
+        let config = AgentConfig::new(discovery_address, &[up_entry(SERVER_NAME, server.address)]);
+        let agent = Agent::start(&config).await;
+        assert_eq!(agent.readiness_status().await, 200);
+        assert_eq!(agent.get("/read").await.status(), 200);
+    }
+}
+
+#[tokio::test]
+async fn an_invalid_configuration_ends_the_start_with_a_one_line_error() {
+    for text in ["", "{}", "[1]", r#"{"settings":{"classes":[]},"discovery":"127.0.0.1:1"}"#] {
+        let config_file = ConfigFile::create(text);
+
+        let output = within_time_limit("the exit", agent_command(&config_file).output()).await;
+
+        let output = output.expect("output");
+        std::fs::remove_file(config_file.path()).expect("the file is there");
+        assert!(!output.status.success());
+        let log = String::from_utf8(output.stderr).expect("UTF-8");
+        assert_eq!(log.lines().count(), 1, "{log}");
+        assert!(log.starts_with("balancer-agent: "), "{log}");
+    }
+}
+
+/// An agent that was killed outright starts again at the same address with the list it had, and serves.
+#[tokio::test]
+async fn a_killed_agent_restarts_on_its_address() {
+    let server = TestServer::responding_with("x").await;
+    let discovery = TestDiscovery::silent().await;
+    // An address of its own, or another test might take the port between the two starts.
+    let config = AgentConfig::new(discovery.address, &[up_entry(SERVER_NAME, server.address)])
+        .with_listen_address("127.0.0.2:0");
+    let mut killed = Agent::start(&config).await;
+    // A connection that is open when the process dies leaves its address in use for a while.
+    let mut client = killed.connect().await;
+    assert_eq!(client.exchange(&get_request("/read", "2000m")).await.status(), 200);
+
+    killed.process.kill().await.expect("it is killed");
+    let restarted = Agent::start(&config.with_listen_address(&killed.address.to_string())).await;
+
+    restarted.wait_until_ready().await;
+    assert_eq!(restarted.get("/read").await.status(), 200);
+}
