--- a/crates/balancer-agent/tests/common/mod.rs
+++ b/crates/balancer-agent/tests/common/mod.rs
@@ -1,7 +1,6 @@
 //! A harness for the real agent on loopback sockets: scripted servers and discovery, the agent's process, and
 //! clients that speak plain bytes.
-// Each test file is a program of its own and uses a part of the harness.
-#![allow(dead_code)]
+#![allow(dead_code, reason = "each test file is a program of its own and uses a part of the harness")]
 
 pub mod agent;
 pub mod client;
--- a/crates/balancer-agent/tests/common/server.rs
+++ b/crates/balancer-agent/tests/common/server.rs
@@ -117,11 +117,15 @@
     ) -> (Self, ResponseGate) {
         let gate = ResponseGate::default();
         let held = ServerReply::WhenReleased(gate.clone(), payment_response);
-        let server = Self::start(move |request| match request.head.contains("/pay") {
-            true => held.clone(),
-            false => other_reply.clone(),
-        })
-        .await;
+        let reply = move |request: &Message| {
+            let is_payment = request.head.contains("/pay");
+            if is_payment {
+                held.clone()
+            } else {
+                other_reply.clone()
+            }
+        };
+        let server = Self::start(reply).await;
         (server, gate)
     }
 
--- a/crates/balancer-agent/tests/common/setup.rs
+++ b/crates/balancer-agent/tests/common/setup.rs
@@ -14,7 +14,7 @@
 
 /// Counted from SIGTERM: past the time in which new connections are accepted, and well before SIGKILL with
 /// deadlines of 3 s.
-pub const AFTER_LAST_ACCEPT: Duration = Duration::from_millis(1_000);
+pub const AFTER_LAST_ACCEPT: Duration = Duration::from_secs(1);
 
 /// Starts an agent that knows the server at this address, beside a discovery that answers no call.
 pub async fn start_agent(server: SocketAddr) -> (TestDiscovery, Agent) {
--- a/crates/balancer-agent/tests/connection_close.rs
+++ b/crates/balancer-agent/tests/connection_close.rs
@@ -55,9 +55,10 @@
 /// A connection whose response is being sent is not idle, and no room is made by closing it.
 #[tokio::test]
 async fn a_connection_with_an_unfinished_response_is_not_idle() {
-    let server = TestServer::start(|request| match request.head.contains("/large") {
-        true => ServerReply::KeepOpen(ok_response(&large_body())),
-        false => ServerReply::KeepOpen(ok_response("x")),
+    let server = TestServer::start(|request| {
+        let is_large = request.head.contains("/large");
+        let body = if is_large { large_body() } else { "x".to_owned() };
+        ServerReply::KeepOpen(ok_response(&body))
     })
     .await;
     // With a quarter of the room taken, the first that are idle are closed after 2.05 s.
--- a/crates/balancer-agent/tests/graceful_shutdown.rs
+++ b/crates/balancer-agent/tests/graceful_shutdown.rs
@@ -101,32 +101,32 @@
     let server = TestServer::responding_with("x").await;
     let (_discovery, mut agent) = start_agent(server.address).await;
     let sigterm_time = watch::Sender::new(None);
-    let served = Arc::new(AtomicUsize::new(0));
+    let served_requests = Arc::new(AtomicUsize::new(0));
     let clients = [(); CLIENTS].map(|()| {
         let client = LoadClient {
             agent: agent.address,
             kept_connection: None,
             sigterm_time: sigterm_time.subscribe(),
-            served: served.clone(),
+            served: served_requests.clone(),
         };
         tokio::spawn(client.run())
     });
     within_time_limit("traffic", async {
-        while served.load(Ordering::SeqCst) < 10 * CLIENTS {
+        while served_requests.load(Ordering::SeqCst) < 10 * CLIENTS {
             tokio::task::yield_now().await;
         }
     })
     .await;
 
     agent.send_sigterm().await;
-    let served_before = served.load(Ordering::SeqCst);
+    let served_before = served_requests.load(Ordering::SeqCst);
     sigterm_time.send_replace(Some(Instant::now()));
 
     for client in clients {
         within_time_limit("a client's end", client).await.expect("nothing lost");
     }
     // How much depends on the machine: clients come for 0.3 s.
-    assert!(served.load(Ordering::SeqCst) > served_before, "no traffic after SIGTERM");
+    assert!(served_requests.load(Ordering::SeqCst) > served_before, "no traffic after SIGTERM");
     assert!(agent.wait_for_exit().await.success());
 }
 
