Tests of balancer-core: name files and tests after the behaviour they test

Files follow the modules and the terms of the field, test functions are plain statements of behaviour.

--- a/crates/balancer-core/tests/drains_kept.rs
+++ b/crates/balancer-core/tests/draining.rs
@@ -18,19 +18,19 @@
 }
 
 #[test]
-fn draining_and_gone_by_change() {
+fn draining_or_removed_endpoint_gets_no_requests() {
     for status in [EndpointStatus::Draining, EndpointStatus::Removed] {
         drained(|lines| EndpointUpdate::Changes(vec![Endpoint { status, ..lines[0].clone() }]));
     }
 }
 
 #[test]
-fn left_out_of_a_complete_list() {
+fn endpoint_missing_from_a_complete_list_gets_no_requests() {
     drained(|lines| EndpointUpdate::Complete(lines[1..].to_vec()));
 }
 
 #[test]
-fn the_last_of_two_lines_for_a_server_counts() {
+fn last_of_two_entries_for_a_server_counts() {
     drained(|lines| {
         let gone = Endpoint { status: EndpointStatus::Draining, ..lines[0].clone() };
         EndpointUpdate::Complete(vec![lines[0].clone(), lines[1].clone(), gone])
@@ -38,7 +38,7 @@
 }
 
 #[test]
-fn a_failed_call_for_the_list_is_repeated_and_the_old_list_stands() {
+fn failed_watch_is_reopened_and_the_old_endpoint_list_stands() {
     let settings = Settings {
         discovery_mode: DiscoveryMode::OnRequest,
         classes: vec![class(Effect::Idempotent)],
--- a/crates/balancer-core/tests/one_final_answer.rs
+++ b/crates/balancer-core/tests/final_answers.rs
@@ -8,7 +8,7 @@
 }
 
 #[test]
-fn an_empty_fleet_holds_then_refuses() {
+fn empty_fleet_queues_then_rejects() {
     let mut rig = Rig::new(plain(), 1);
     let (id, sent) = rig.ask(0);
     assert_eq!(sent, None);
@@ -19,7 +19,7 @@
 }
 
 #[test]
-fn a_held_request_goes_out_when_the_list_comes() {
+fn queued_request_is_sent_when_endpoints_arrive() {
     let mut rig = Rig::new(plain(), 1);
     let (id, _) = rig.ask(1);
     rig.list(fleet(3, 1, 1));
@@ -30,7 +30,7 @@
 
 /// Seen on a simulated day: a client's last try can come with nothing left of its time.
 #[test]
-fn a_request_without_time_left_is_answered_at_once() {
+fn request_without_time_left_is_rejected_immediately() {
     for servers in [0, 3] {
         let mut rig = Rig::new(plain(), 1);
         rig.list(fleet(servers, 1, 1));
@@ -42,7 +42,7 @@
 }
 
 #[test]
-fn a_timed_out_request_that_must_not_repeat_fails_at_its_deadline() {
+fn timed_out_at_most_once_request_fails_at_its_deadline() {
     let mut rig = Rig::new(plain(), 1);
     rig.list(fleet(3, 1, 1));
     let (id, _) = rig.ask(1);
@@ -53,7 +53,7 @@
 }
 
 #[test]
-fn late_double_and_foreign_events_do_nothing() {
+fn late_duplicate_and_unknown_events_do_nothing() {
     let mut rig = Rig::new(plain(), 1);
     rig.list(fleet(3, 1, 1));
     let (id, _) = rig.ask(0);
@@ -78,7 +78,7 @@
 }
 
 #[test]
-fn nothing_is_sent_for_a_client_that_has_gone() {
+fn nothing_is_sent_after_the_client_disconnects() {
     let mut rig = Rig::new(plain(), 1);
     rig.list(fleet(3, 1, 1));
     let (id, _) = rig.ask(0);
@@ -88,7 +88,7 @@
 }
 
 #[test]
-fn attempts_stay_within_the_limit() {
+fn attempts_stay_within_the_maximum() {
     for most in 1..4 {
         let mut rig = Rig::new(Settings { max_attempts: most, ..plain() }, 5);
         rig.list(fleet(9, 1, 1));
@@ -107,7 +107,7 @@
 /// Seen on a simulated day: a request held in the very moment of a tick put the tick off, so that a steady
 /// stream of them kept it from ever coming, and held requests passed their deadline without an answer.
 #[test]
-fn requests_that_come_with_each_tick_do_not_starve_it() {
+fn requests_arriving_with_each_tick_do_not_starve_it() {
     let mut rig = Rig::new(plain(), 1);
     let (first, _) = rig.ask(0);
     let mut all = Vec::new();
--- a/crates/balancer-core/tests/bad_input.rs
+++ b/crates/balancer-core/tests/invalid_input.rs
@@ -30,7 +30,7 @@
 }
 
 #[test]
-fn reports_that_cannot_be_true_neither_stop_nor_starve_anything() {
+fn invalid_load_reports_starve_no_server() {
     for said in [vec![], vec![f64::NAN], vec![f64::INFINITY], vec![0.0], vec![-1e300], vec![1e300, 1.0]] {
         let sent = share(said.clone());
         assert!(sent[1..].iter().all(|n| *n > 20), "{said:?}: {sent:?}");
@@ -40,7 +40,7 @@
 }
 
 #[test]
-fn a_clock_that_jumps_an_hour_leaves_the_fleet_in_use_and_no_request_unanswered() {
+fn clock_jump_keeps_the_fleet_in_use_and_every_request_answered() {
     let mut rig = Rig::new(settings(), 3);
     rig.list(fleet(4, 1, 1));
     let open: Vec<_> = (0..6).map(|_| rig.ask(0).0).collect();
--- a/crates/balancer-core/tests/memory_does_not_grow.rs
+++ b/crates/balancer-core/tests/memory_growth.rs
@@ -10,7 +10,7 @@
 }
 
 #[test]
-fn many_requests_leave_nothing_behind() {
+fn memory_does_not_grow_with_requests_served() {
     let settings =
         Settings { classes: vec![class(Effect::Idempotent)], has_key_affinity: true, ..Settings::default() };
     let mut balancer = Balancer::new(settings, 1).unwrap();
--- a/crates/balancer-core/tests/suspects.rs
+++ b/crates/balancer-core/tests/outlier_ejection.rs
@@ -28,7 +28,7 @@
 }
 
 #[test]
-fn quick_errors_do_not_draw_traffic() {
+fn quick_errors_do_not_attract_requests() {
     for bad in [Outcome::ServerError, Outcome::ConnectFailed, Outcome::ConnectionReset] {
         let mut rig = Rig::new(settings(Effect::Idempotent), 11);
         rig.list(fleet(5, 1, 1));
@@ -42,7 +42,7 @@
 }
 
 #[test]
-fn a_much_slower_server_is_left_and_taken_back() {
+fn much_slower_server_is_ejected_and_restored() {
     let mut rig = Rig::new(settings(Effect::Idempotent), 11);
     rig.list(fleet(5, 1, 1));
     let sent = serve(&mut rig, 5, 300, |s| (Outcome::Success, if s.0 == 2 { 300.0 } else { 30.0 }));
@@ -52,7 +52,7 @@
 }
 
 #[test]
-fn a_fleet_that_is_slow_together_keeps_all_its_servers() {
+fn uniformly_slow_fleet_keeps_all_its_servers() {
     let mut rig = Rig::new(settings(Effect::Idempotent), 11);
     rig.list(fleet(5, 1, 1));
     serve(&mut rig, 5, 100, |_| (Outcome::Success, 30.0));
@@ -61,7 +61,7 @@
 }
 
 #[test]
-fn a_silent_server_is_left_and_its_repeatable_request_called_back() {
+fn silent_server_is_ejected_and_its_idempotent_requests_are_retried() {
     let mut rig = Rig::new(settings(Effect::Idempotent), 5);
     rig.list(fleet(4, 1, 1));
     serve(&mut rig, 4, 40, |_| (Outcome::Success, 20.0));
@@ -86,7 +86,7 @@
 
 /// On quiet days costly requests made healthy servers suspect, each a second time in vain.
 #[test]
-fn a_costly_request_alone_on_its_server_is_no_hang_before_its_aim() {
+fn costly_request_is_not_overdue_before_its_objective() {
     let mut rig = Rig::new(settings(Effect::Idempotent), 5);
     rig.list(fleet(4, 1, 1));
     serve(&mut rig, 4, 40, |_| (Outcome::Success, 20.0));
@@ -100,7 +100,7 @@
 /// Its answer is lost, but its server answers others: it once waited for its deadline and held a place till
 /// then.
 #[test]
-fn a_repeatable_request_that_hangs_among_quick_answers_is_called_back() {
+fn hanging_idempotent_request_is_cancelled_and_retried() {
     let late = RequestClass { late_value: 0.3, ..class(Effect::Idempotent) };
     let mut rig = Rig::new(Settings { classes: vec![late], ..Settings::default() }, 5);
     rig.list(fleet(1, 1, 1));
@@ -121,7 +121,7 @@
 }
 
 #[test]
-fn what_must_not_repeat_is_not_called_back() {
+fn at_most_once_request_is_not_cancelled() {
     let mut rig = Rig::new(settings(Effect::AtMostOnce), 5);
     rig.list(fleet(4, 1, 1));
     let (id, _) = rig.ask(0);
@@ -133,7 +133,7 @@
 
 /// Answers that are lost on the way, one in seven, once cut a quick server's limit to one request.
 #[test]
-fn a_lost_answer_among_quick_ones_is_not_taken_for_load() {
+fn lost_answer_among_quick_ones_does_not_count_as_load() {
     let mut rig = Rig::new(settings(Effect::AtMostOnce), 5);
     rig.list(fleet(1, 1, 1));
     serve(&mut rig, 1, 100, |_| (Outcome::Success, 20.0));
@@ -152,7 +152,7 @@
 /// Where no report tells the loads, a tie once went to the server that had been sent the least since the
 /// start: one that joins late, or comes back, drew all ties until it had caught up with the others.
 #[test]
-fn a_server_that_joins_late_does_not_win_every_tie() {
+fn late_joining_server_does_not_win_every_tie() {
     let mut rig = Rig::new(settings(Effect::Idempotent), 11);
     rig.list(fleet(4, 1, 1));
     serve(&mut rig, 5, 400, |_| (Outcome::Success, 30.0));
@@ -163,7 +163,7 @@
 
 /// Without a safe class nothing would ever try a suspect, so others must after a while.
 #[test]
-fn a_site_without_safe_classes_takes_servers_back() {
+fn ejected_server_is_restored_without_idempotent_classes() {
     let mut rig = Rig::new(settings(Effect::AtMostOnce), 11);
     rig.list(fleet(3, 1, 1));
     serve(&mut rig, 3, 100, |s| match s.0 {
@@ -175,7 +175,7 @@
 }
 
 #[test]
-fn most_of_the_fleet_out_of_reach_leaves_the_rest_in_use() {
+fn unreachable_majority_leaves_the_rest_in_use() {
     let mut rig = Rig::new(settings(Effect::Idempotent), 11);
     rig.list(fleet(8, 1, 1));
     let cut = |s: ServerId| if s.0 < 6 { (Outcome::ConnectFailed, 100.0) } else { (Outcome::Success, 20.0) };
@@ -186,7 +186,7 @@
 }
 
 #[test]
-fn a_whole_fleet_that_fails_is_still_tried() {
+fn wholly_failing_fleet_is_still_sent_requests() {
     let mut rig = Rig::new(settings(Effect::Idempotent), 11);
     rig.list(fleet(4, 1, 1));
     serve(&mut rig, 4, 40, |_| (Outcome::ServerError, 1.0));
--- a/crates/balancer-core/tests/overload.rs
+++ b/crates/balancer-core/tests/overload.rs
@@ -23,7 +23,7 @@
 
 /// First come first served would make every held request late.
 #[test]
-fn held_requests_go_newest_first() {
+fn queued_requests_are_sent_newest_first() {
     let mut rig = Rig::new(settings(), 1);
     let (sent, held) = fill(&mut rig, 12);
     assert!(!sent.is_empty() && held.len() > 4);
@@ -33,7 +33,7 @@
 }
 
 #[test]
-fn held_requests_are_refused_before_their_aim_has_passed() {
+fn queued_requests_are_rejected_before_their_objective_passes() {
     let mut rig = Rig::new(settings(), 1);
     let (_, held) = fill(&mut rig, 12);
     let start = rig.now;
@@ -50,7 +50,7 @@
 }
 
 #[test]
-fn late_answers_bring_fewer_sends_and_quick_ones_bring_them_back() {
+fn late_answers_lower_concurrency_and_quick_answers_restore_it() {
     let mut rig = Rig::new(settings(), 1);
     rig.list(fleet(2, 1, 1));
     let mut round = |ms: f64| {
@@ -87,7 +87,7 @@
 
 /// Limits that grew past what was in use let a burst fill every server at once, and the fleet choked on it.
 #[test]
-fn a_limit_that_is_not_in_full_use_does_not_grow() {
+fn concurrency_limit_not_in_full_use_does_not_grow() {
     let mut rig = Rig::new(settings(), 1);
     rig.list(fleet(1, 1, 1));
     for _ in 0..400 {
@@ -103,7 +103,7 @@
 
 /// An attempt turned away as full must not go round the fleet at once, again and again.
 #[test]
-fn full_servers_get_a_rest() {
+fn full_servers_are_left_alone_for_a_while() {
     let mut rig = Rig::new(settings(), 1);
     rig.list(fleet(3, 1, 1));
     let mut sends = 0;
@@ -128,7 +128,7 @@
 
 /// Limits of one request each from many balancers are still a crowd.
 #[test]
-fn limits_go_below_one_request_where_balancers_are_many() {
+fn concurrency_limits_fall_below_one_with_many_balancers() {
     let rate = |balancers| {
         let mut rig = Rig::new(Settings { balancer_count: balancers, ..settings() }, 1);
         rig.list(fleet(1, 1, 1));
@@ -149,7 +149,7 @@
 
 /// A later try is known by its unusual wait; when its aim has passed, serving it is wasted.
 #[test]
-fn a_later_try_past_its_aim_is_refused() {
+fn client_retry_past_its_latency_objective_is_rejected() {
     let mut rig = Rig::new(settings(), 1);
     rig.list(fleet(9, 1, 1));
     let mut ask = |id: u64, left: f64| {
@@ -197,7 +197,7 @@
 }
 
 #[test]
-fn under_pressure_the_class_worth_most_is_spared_and_none_is_starved() {
+fn overload_spares_the_most_valuable_class_and_starves_none() {
     let weighted = |priority_weight| RequestClass { priority_weight, ..class(Effect::Idempotent) };
     let goal = GoalWeights { overall: 0.7, worst_window: 0.0, worst_class: 0.3, worst_tenant: 0.0 };
     let settings =
@@ -211,7 +211,7 @@
 }
 
 #[test]
-fn a_flooding_tenant_pays_for_its_flood() {
+fn tenant_over_its_quota_is_served_less() {
     let tenant = |fraction| Tenant { share: fraction, quota_per_s: 100.0 };
     let settings = Settings {
         tenants: vec![tenant(0.3), tenant(0.7)],
@@ -230,7 +230,7 @@
 /// A light balancer hears from each server seldom; before the common level it took half a minute of late
 /// answers to leave a jam of the whole fleet.
 #[test]
-fn a_round_of_late_answers_from_the_whole_fleet_is_enough_to_send_far_less() {
+fn round_of_late_answers_from_the_whole_fleet_halves_sends() {
     let settings = Settings { balancer_count: 20, ..settings() };
     let mut rig = Rig::new(settings, 1);
     rig.list(fleet(24, 1, 1));
@@ -259,7 +259,7 @@
 
 /// Rests once stood as they were set at the last answer: after a jam, up to 47 s without a request.
 #[test]
-fn a_late_answer_at_a_low_level_rests_no_server_once_the_level_is_back() {
+fn late_answer_at_low_admission_pauses_no_server_after_recovery() {
     let mut rig = Rig::new(Settings { balancer_count: 20, ..settings() }, 1);
     rig.list(fleet(2, 1, 1));
     for _ in 0..30 {
--- a/crates/balancer-core/tests/random_walk.rs
+++ b/crates/balancer-core/tests/random_events.rs
@@ -141,7 +141,7 @@
 }
 
 #[test]
-fn the_rules_hold_on_random_walks() {
+fn rules_hold_for_random_events() {
     for pick in 0..120 {
         let (rig, said) = walk(pick, 1800);
         assert!(rig.observer.faults.is_empty(), "walk {pick}: {:#?}", rig.observer.faults);
@@ -159,7 +159,7 @@
 }
 
 #[test]
-fn seeds_matter() {
+fn different_seeds_give_different_choices() {
     let with = |seed| {
         let mut rig = Rig::new(settings(2), seed);
         rig.list(fleet(9, 3, 3));
@@ -170,7 +170,7 @@
 
 /// Two balancers fed in turn act as each does alone: they share nothing.
 #[test]
-fn interleaved_balancers_act_as_if_apart() {
+fn interleaved_balancers_act_independently() {
     let step = |rig: &mut Rig, i: u32| {
         let (id, sent) = rig.ask((i % 3) as usize);
         let mut actions = rig.actions.clone();
--- a/crates/balancer-core/tests/recorded_actions.rs
+++ b/crates/balancer-core/tests/recorded_actions.rs
@@ -711,7 +711,7 @@
 
 /// A digest over scenarios that hardly act would show little.
 #[test]
-fn the_scenarios_take_every_kind_of_action() {
+fn scenarios_cover_every_kind_of_action() {
     let mut total = [0; 11];
     for (name, scenario, _) in recorded() {
         let (_, counts) = World::new(scenario).run();
--- a/crates/balancer-core/tests/no_doubled_effect.rs
+++ b/crates/balancer-core/tests/retry_permissions.rs
@@ -15,7 +15,7 @@
 
 /// The whole table: effect x outcome of the first attempt x group x inside or past the window.
 #[test]
-fn what_may_follow_a_first_attempt() {
+fn retry_permission_follows_effect_outcome_scope_and_window() {
     let effects = [
         Effect::Idempotent,
         Effect::AtMostOnce,
@@ -71,7 +71,7 @@
 
 /// The window and the group are those of the first attempt that may have run, not of the first or the last.
 #[test]
-fn the_group_is_that_of_the_first_attempt_that_may_have_run() {
+fn deduplication_scope_is_that_of_the_first_attempt_that_may_have_run() {
     let settings = Settings {
         classes: vec![class(keyed(DedupScope::Zone, 400.0))],
         max_attempts: 6,
@@ -92,7 +92,7 @@
 
 /// A proven non-run after one that may have run does not lift the ban.
 #[test]
-fn a_later_proof_does_not_clear_an_earlier_attempt() {
+fn later_proof_of_not_running_does_not_clear_an_earlier_attempt() {
     let settings = Settings { classes: vec![class(keyed(DedupScope::Cell, 5000.0))], ..Settings::default() };
     let mut rig = Rig::new(settings, 9);
     rig.list(fleet(8, 2, 4));
@@ -110,7 +110,7 @@
 /// window is not begun, and one that is begun carries the window's end, counted from the first attempt that
 /// may have run.
 #[test]
-fn a_repeat_carries_the_end_of_its_window() {
+fn retry_carries_the_end_of_its_deduplication_window() {
     let settings = Settings {
         classes: vec![class(keyed(DedupScope::Fleet, 400.0))],
         connect_timeout: Span::from_ms(250.0),
--- a/crates/balancer-core/tests/observer_sees_breaches.rs
+++ b/crates/balancer-core/tests/rule_checker.rs
@@ -38,7 +38,7 @@
 }
 
 #[test]
-fn lost_late_double_and_posthumous() {
+fn lost_late_and_duplicate_answers_and_sends_after_the_end_are_violations() {
     let (mut o, now) = watch(Effect::Idempotent);
     assert_eq!(o.lost(now + Span::from_ms(900.0)), 1);
     o.action(now, &Action::Reject { request: RequestId(1), retry_after: None });
@@ -53,7 +53,7 @@
 }
 
 #[test]
-fn doubled_effects() {
+fn duplicate_effects_are_violations() {
     let (mut o, now) = watch(Effect::AtMostOnce);
     o.action(now, &send(0, now));
     o.action(now, &send(1, now));
@@ -78,7 +78,7 @@
 }
 
 #[test]
-fn drains_and_cold_servers() {
+fn sends_to_draining_or_overloaded_warming_up_servers_are_violations() {
     let (mut o, now) = watch(Effect::Idempotent);
     let line = Endpoint { status: EndpointStatus::Draining, ..Endpoint::serving(ServerId(0)) };
     o.event(now, &Event::Endpoints(EndpointUpdate::Changes(vec![line])));
--- a/crates/balancer-core/tests/settings.rs
+++ b/crates/balancer-core/tests/settings.rs
@@ -4,7 +4,7 @@
 use common::*;
 
 #[test]
-fn impossible_settings_are_errors_and_not_panics() {
+fn impossible_settings_return_errors() {
     let with = |change: fn(&mut Settings)| {
         let mut settings = Settings::default();
         change(&mut settings);
@@ -32,7 +32,7 @@
 /// No reports, keys, tenants, probes, cancels or advice, and no goal to speak of: requests are served all the
 /// same.
 #[test]
-fn the_plain_path_needs_nothing_but_a_class() {
+fn settings_with_only_a_class_suffice() {
     let settings = Settings {
         classes: vec![class(Effect::Idempotent)],
         allows_cancel: false,
@@ -52,7 +52,7 @@
 }
 
 #[test]
-fn a_request_of_an_unknown_class_is_refused() {
+fn request_of_unknown_class_is_rejected() {
     let mut rig = Rig::new(Settings::default(), 1);
     rig.list(fleet(3, 1, 1));
     let request = Request::new(RequestId(5), ClassId(9), Span::from_ms(100.0));
--- a/crates/balancer-core/tests/cold_server_not_pushed_over.rs
+++ b/crates/balancer-core/tests/slow_start.rs
@@ -42,7 +42,7 @@
 }
 
 #[test]
-fn a_cold_server_gets_its_share_of_a_warm_ones_load() {
+fn warming_up_server_gets_its_share_of_a_warm_servers_load() {
     let mut rig = Rig::new(settings(), 4);
     let mut lines = fleet(6, 1, 1);
     lines[5].started_at = Some(rig.now);
@@ -58,7 +58,7 @@
 }
 
 #[test]
-fn a_second_restart_while_warming_starts_over() {
+fn restart_during_slow_start_begins_it_again() {
     let mut rig = Rig::new(settings(), 4);
     let mut lines = fleet(6, 1, 1);
     lines[5].started_at = Some(rig.now);
@@ -72,7 +72,7 @@
 }
 
 #[test]
-fn a_fleet_that_is_all_cold_still_serves_and_a_lone_server_too() {
+fn fleet_or_lone_server_that_is_warming_up_still_serves() {
     for n in [1, 4] {
         let mut rig = Rig::new(settings(), 4);
         let start = rig.now;
@@ -85,7 +85,7 @@
 
 /// With nothing answered, a cold fleet must not be flooded by the first seconds' arrivals.
 #[test]
-fn an_all_cold_fleet_is_paced_by_its_answers() {
+fn fleet_that_is_all_warming_up_is_paced_by_its_answers() {
     let mut rig = Rig::new(settings(), 4);
     let start = rig.now;
     rig.list(fleet(4, 1, 1).into_iter().map(|l| Endpoint { started_at: Some(start), ..l }).collect());
@@ -98,7 +98,7 @@
 
 /// The clock may start near zero; that is no restart.
 #[test]
-fn a_clock_near_zero_makes_no_server_cold() {
+fn clock_near_zero_puts_no_server_in_slow_start() {
     let settings = settings();
     let mut balancer = Balancer::new(settings, 1).unwrap();
     let mut actions = Vec::new();
--- a/crates/balancer-core/tests/blind.rs
+++ b/crates/balancer-core/tests/sparse_view.rs
@@ -35,7 +35,7 @@
 
 /// A fair coin sent machines of half the size as much as the others, and they jammed first.
 #[test]
-fn load_goes_by_listed_size() {
+fn load_follows_endpoint_weight() {
     let mut rig = Rig::new(Settings { endpoint_weights: EndpointWeights::Size, ..settings() }, 1);
     let sized = |l: Endpoint| Endpoint { weight: if l.server.0 < 10 { 3.0 } else { 1.0 }, ..l };
     rig.list(fleet(20, 1, 1).into_iter().map(sized).collect());
@@ -48,7 +48,7 @@
 /// Machines of one listed size and different speed: the kind's answers tell them apart before single servers
 /// can.
 #[test]
-fn load_goes_by_the_pace_of_a_kind() {
+fn load_follows_the_latency_of_a_machine_kind() {
     let mut rig = Rig::new(settings(), 2);
     let lines =
         fleet(100, 1, 1).into_iter().map(|l| Endpoint { machine_kind: MachineKindId(l.server.0 % 2), ..l });
@@ -101,7 +101,7 @@
 
 /// Nearly every request opened a connection, and the handshakes of all balancers jammed the servers.
 #[test]
-fn a_kept_connection_is_used_by_most_requests_where_a_new_one_is_priced() {
+fn costly_handshakes_make_most_requests_reuse_connections() {
     let mut costs = Settings::default().costs;
     costs.handshake = 0.08;
     let mut rig = Rig::new(Settings { costs, ..settings() }, 7);
@@ -113,7 +113,7 @@
 
 /// A jam of the whole fleet never ended: limits per server bind nothing at one visit in many seconds.
 #[test]
-fn a_jam_of_the_fleet_lets_little_in_and_its_end_is_seen() {
+fn overloaded_fleet_is_sent_little_until_it_recovers() {
     let mut rig = Rig::new(settings(), 4);
     rig.list(fleet(50, 1, 1));
     serve(&mut rig, 50, 60, 2.0 * AIM_MS, |_| Outcome::TimedOut);
@@ -139,7 +139,7 @@
 
 /// A request turned away by a short queue is no sign of a jam: it goes elsewhere at once.
 #[test]
-fn single_rejections_refuse_nothing() {
+fn single_rejections_do_not_lower_admission() {
     let mut rig = Rig::new(settings(), 5);
     rig.list(fleet(50, 1, 1));
     serve(&mut rig, 50, 200, 20.0, |s| if s.0 < 10 { Outcome::Rejected } else { Outcome::Success });
@@ -150,7 +150,7 @@
 /// Full servers are the first sign of a jam, seconds before answers are late; heeded only where one request
 /// met two of them, it came too late to keep the servers quick.
 #[test]
-fn a_fleet_that_turns_much_away_is_let_less_in() {
+fn frequent_rejections_lower_admission() {
     let mut rig = Rig::new(settings(), 8);
     rig.list(fleet(50, 1, 1));
     let count = std::cell::Cell::new(0);
@@ -170,7 +170,7 @@
 /// heeded only from the whole aim on, the level came to rest where slowed servers are never idle enough to
 /// recover.
 #[test]
-fn answers_over_half_their_aim_are_signs_of_a_jam() {
+fn answers_slower_than_half_the_objective_signal_overload() {
     let mut rig = Rig::new(settings(), 14);
     rig.list(fleet(50, 1, 1));
     serve(&mut rig, 50, 100, 0.6 * AIM_MS, all_well);
@@ -180,7 +180,7 @@
 
 /// Waiting for the answer itself lets the jam grow for as long.
 #[test]
-fn an_answer_counts_as_slow_once_half_its_aim_is_over() {
+fn attempt_counts_as_slow_after_half_the_latency_objective() {
     let mut rig = Rig::new(settings(), 15);
     rig.list(fleet(50, 1, 1));
     let waiting = (0..100).filter(|_| rig.ask(0).1.is_some()).count();
@@ -194,7 +194,7 @@
 /// jam; by then they were slow for long. What comes back, as a whole or from a list that was empty, is let in
 /// again.
 #[test]
-fn a_fleet_that_shrinks_is_let_less_in_at_once() {
+fn shrunken_fleet_is_sent_less_immediately() {
     let mut rig = Rig::new(settings(), 17);
     let admitted = |rig: &mut Rig| (0..200).filter(|_| rig.ask(0).1.is_some()).count();
     rig.list(fleet(100, 1, 1));
@@ -210,7 +210,7 @@
 
 /// Each of many balancers lost a request to each silent server; now a few bytes tell the others.
 #[test]
-fn hearsay_is_told_heeded_and_forgotten() {
+fn gossip_is_sent_and_heeded_and_expires() {
     let settings = Settings { allows_gossip: true, ..settings() };
     let mut teller = Rig::new(settings.clone(), 6);
     teller.list(fleet(10, 1, 1));
@@ -243,7 +243,7 @@
 }
 
 #[test]
-fn a_peers_nonsense_changes_nothing() {
+fn invalid_gossip_changes_nothing() {
     let settings = Settings { allows_gossip: true, ..settings() };
     let (mut plain, mut told) = (Rig::new(settings.clone(), 8), Rig::new(settings, 8));
     plain.list(fleet(10, 1, 1));
@@ -256,7 +256,7 @@
 
 /// Behind a cut link every server fails to connect, one after another; two failures tell of the zone.
 #[test]
-fn a_cut_zone_is_left_after_two_failed_connects() {
+fn cut_zone_is_avoided_after_two_failed_connects() {
     let mut rig = Rig::new(Settings { max_attempts: 1, ..settings() }, 9);
     rig.list(fleet(60, 2, 1));
     let cut = |s: ServerId| if s.0 % 2 == 1 { Outcome::ConnectFailed } else { Outcome::Success };
@@ -295,7 +295,7 @@
 
 /// A third of the answers were late by chance alone, own counts being all zero.
 #[test]
-fn cheap_probes_tell_the_lightest_candidate() {
+fn cheap_load_polls_find_the_least_loaded_candidate() {
     let mut rig = Rig::new(asking(), 10);
     rig.list(fleet(20, 1, 1));
     let (_, sent) = rig.ask(0);
@@ -312,7 +312,7 @@
 }
 
 #[test]
-fn a_candidate_that_does_not_tell_is_not_waited_for_and_not_chosen() {
+fn silent_poll_candidate_is_neither_awaited_nor_chosen() {
     let mut rig = Rig::new(asking(), 11);
     rig.list(fleet(20, 1, 1));
     let (id, _) = rig.ask(0);
@@ -326,7 +326,7 @@
 }
 
 #[test]
-fn dear_or_useless_probes_are_not_sent() {
+fn costly_or_useless_load_polls_are_not_sent() {
     let dear = Costs { health_check: 0.01, ..Costs::default() };
     for settings in [
         Settings { costs: dear, ..asking() },
@@ -343,7 +343,7 @@
 
 /// An empty cold server would win every pick it is asked in, at all balancers at once.
 #[test]
-fn a_cold_server_is_not_drawn_to_by_its_emptiness() {
+fn idle_warming_up_server_does_not_attract_requests() {
     for settings in [settings(), asking()] {
         let mut rig = Rig::new(settings, 13);
         let mut lines = fleet(10, 1, 1);
@@ -368,7 +368,7 @@
 /// A cold server that had passed to be remembered had to pass again at each pick from the memory: it got the
 /// square of its part, while the warm ones that were left of a fleet jammed.
 #[test]
-fn a_cold_server_gets_the_part_that_it_can_bear() {
+fn warming_up_server_gets_its_capacity_share() {
     const COLD: f64 = 0.25;
     let costs = Costs { handshake: 0.08, ..Settings::default().costs };
     let warm_up_time = Span::from_ms(1e9);
@@ -387,7 +387,7 @@
 
 /// Remembered as it was, it would go on being sent a warm one's share by all that remember it.
 #[test]
-fn a_server_that_starts_anew_must_pass_again() {
+fn restarted_server_goes_through_slow_start_again() {
     let mut cold = 0;
     for seed in 0..60 {
         let mut rig = Rig::new(Settings { initial_capacity: 0.1, ..settings() }, seed);
@@ -407,7 +407,7 @@
 /// the rest. They get more then, up to half of what would push them over, and no more than before where they
 /// answer later.
 #[test]
-fn cold_servers_that_answer_sooner_than_warm_ones_get_more() {
+fn warming_up_servers_faster_than_warm_ones_get_more() {
     const COLD: f64 = 0.25;
     let mut parts = Vec::new();
     for (warm_ms, cold_ms) in [(60.0, 40.0), (40.0, 60.0)] {
@@ -450,7 +450,7 @@
 /// remembered and was sent more than its share. Where all are slow it stays, or every request would open a
 /// connection.
 #[test]
-fn a_server_that_is_slow_next_to_the_others_is_not_remembered() {
+fn relatively_slow_server_is_not_remembered() {
     for (others, kept) in [(20.0, false), (120.0, true)] {
         let mut rig = Rig::new(settings(), 18);
         rig.list(fleet(20, 1, 1));
@@ -478,7 +478,7 @@
 /// The admission probability was the same for all classes, so in a jam as much was refused of what is worth
 /// most.
 #[test]
-fn the_class_that_costs_the_goal_least_gives_way_first() {
+fn class_that_costs_the_goal_least_is_shed_first() {
     let weighted = |priority_weight| RequestClass { priority_weight, ..class(Effect::Idempotent) };
     let goal = GoalWeights { overall: 0.8, worst_window: 0.0, worst_class: 0.2, worst_tenant: 0.0 };
     for (weights, first) in [([10.0, 30.0], true), ([10.0, 10.0], false)] {
