--- a/crates/balancer-core/tests/draining.rs
+++ b/crates/balancer-core/tests/draining.rs
@@ -1,61 +1,65 @@
-//! Guards rule three: nothing new goes to a server that drains or is gone.
+//! Tests that nothing new is sent to servers that drain or are gone, and that a broken watch of the endpoint
+//! list is opened again.
+
 mod common;
+
 use balancer_core::*;
 use common::*;
 
-fn drained(update: impl Fn(Vec<Endpoint>) -> EndpointUpdate) {
-    let settings = Settings { classes: vec![class(Effect::Idempotent)], ..Settings::default() };
-    let mut rig = Rig::new(settings, 2);
-    rig.list(fleet(2, 1, 1));
-    rig.tell(Event::Endpoints(update(fleet(2, 1, 1))));
+/// Updates a list of two servers so that only the second one takes requests, and checks that it gets them all.
+fn assert_first_server_gets_nothing_after(update: impl Fn(Vec<Endpoint>) -> EndpointUpdate) {
+    let mut harness = Harness::with_endpoints(idempotent_settings(), 2, fleet(2, 1, 1));
+
+    harness.handle(Event::Endpoints(update(fleet(2, 1, 1))));
+
     for _ in 0..50 {
-        let (id, sent) = rig.ask(0);
-        assert_eq!(sent, Some(ServerId(1)));
-        rig.wait(Span::from_ms(10.0));
-        rig.answer(id, 0, Outcome::Success, 10.0);
+        let request = harness.send_request(0);
+        assert_eq!(request.server, Some(ServerId(1)));
+        harness.advance_ms(10.0);
+        harness.succeed(request.id, 10.0);
     }
-    rig.assert_rules();
+    harness.assert_no_violations();
 }
 
 #[test]
 fn draining_or_removed_endpoint_gets_no_requests() {
     for status in [EndpointStatus::Draining, EndpointStatus::Removed] {
-        drained(|lines| EndpointUpdate::Changes(vec![Endpoint { status, ..lines[0].clone() }]));
+        assert_first_server_gets_nothing_after(|endpoints| {
+            EndpointUpdate::Changes(vec![Endpoint { status, ..endpoints[0].clone() }])
+        });
     }
 }
 
 #[test]
 fn endpoint_missing_from_a_complete_list_gets_no_requests() {
-    drained(|lines| EndpointUpdate::Complete(lines[1..].to_vec()));
+    assert_first_server_gets_nothing_after(|endpoints| EndpointUpdate::Complete(endpoints[1..].to_vec()));
 }
 
 #[test]
 fn last_of_two_entries_for_a_server_counts() {
-    drained(|lines| {
-        let gone = Endpoint { status: EndpointStatus::Draining, ..lines[0].clone() };
-        EndpointUpdate::Complete(vec![lines[0].clone(), lines[1].clone(), gone])
+    assert_first_server_gets_nothing_after(|endpoints| {
+        let draining = Endpoint { status: EndpointStatus::Draining, ..endpoints[0].clone() };
+        EndpointUpdate::Complete(vec![endpoints[0].clone(), endpoints[1].clone(), draining])
     });
 }
 
 #[test]
 fn failed_watch_is_reopened_and_the_old_endpoint_list_stands() {
-    let settings = Settings {
-        discovery_mode: DiscoveryMode::OnRequest,
-        classes: vec![class(Effect::Idempotent)],
-        ..Settings::default()
-    };
-    let mut rig = Rig::new(settings, 2);
-    assert!(rig.actions.contains(&Action::WatchEndpoints), "followed from the start");
-    rig.list(fleet(2, 1, 1));
-    let mut asked = 0;
+    let settings = Settings { discovery_mode: DiscoveryMode::OnRequest, ..idempotent_settings() };
+    let mut harness = Harness::new(settings, 2);
+    assert!(harness.actions.contains(&Action::WatchEndpoints), "watched from the start");
+    harness.set_endpoints(fleet(2, 1, 1));
+
+    let mut watch_count = 0;
     for _ in 0..5 {
-        rig.tell(Event::Endpoints(EndpointUpdate::Failed));
-        let (id, sent) = rig.ask(0);
-        assert!(sent.is_some());
-        rig.answer(id, 0, Outcome::Success, 10.0);
-        let actions = rig.wait(Span::from_ms(5000.0));
-        asked += actions.iter().filter(|a| **a == Action::WatchEndpoints).count();
+        harness.handle(Event::Endpoints(EndpointUpdate::Failed));
+        let request = harness.send_request(0);
+        assert!(request.is_sent());
+        harness.succeed(request.id, 10.0);
+        let actions = harness.advance_ms(5000.0);
+        watch_count += actions.iter().filter(|action| **action == Action::WatchEndpoints).count();
     }
-    assert_eq!(asked, 5, "one more call after each failure, within half of what the site asks");
-    rig.assert_rules();
+
+    assert_eq!(watch_count, 5, "one more watch after each failure, within half of the longest poll interval");
+    harness.assert_no_violations();
 }
--- a/crates/balancer-core/tests/invalid_input.rs
+++ b/crates/balancer-core/tests/invalid_input.rs
@@ -1,63 +1,63 @@
-//! Guards against decisions that absurd reports or a jumping clock would turn.
+//! Tests that invalid load reports and a clock that jumps leave the fleet in use and every request answered.
+
 mod common;
+
 use balancer_core::*;
 use common::*;
 
 fn settings() -> Settings {
-    Settings {
-        classes: vec![class(Effect::Idempotent)],
-        load_report_fields: vec![LoadReportField::InFlight],
-        ..Settings::default()
-    }
+    Settings { load_report_fields: vec![LoadReportField::InFlight], ..idempotent_settings() }
 }
 
-/// Requests sent to each of four servers, the first of which reports what is given.
-fn share(report: Vec<f64>) -> [u32; 4] {
-    let mut rig = Rig::new(settings(), 3);
-    rig.list(fleet(4, 1, 1));
-    let mut sent = [0; 4];
+/// The number of requests sent to each of four servers, the first of which reports `report_of_first`.
+fn requests_by_server(report_of_first: &[f64]) -> [u32; 4] {
+    let mut harness = Harness::with_endpoints(settings(), 3, fleet(4, 1, 1));
+    let mut requests_by_server = [0; 4];
     for _ in 0..200 {
-        let (id, server) = rig.ask(0);
-        let server = server.expect("an idle fleet takes it");
-        sent[server.0 as usize] += 1;
-        rig.wait(Span::from_ms(20.0));
-        let said = if server.0 == 0 { report.clone() } else { vec![0.0] };
-        rig.answer_with(id, 0, Outcome::Success, 20.0, Some(said));
-        rig.wait(Span::from_ms(10.0));
+        let request = harness.send_request(0);
+        let server = request.server.expect("an idle fleet takes it");
+        requests_by_server[server.0 as usize] += 1;
+        harness.advance_ms(20.0);
+        let report = if server.0 == 0 { report_of_first.to_vec() } else { vec![0.0] };
+        harness.end_attempt_with_report(request.id, 0, Response::success(20.0), Some(report));
+        harness.advance_ms(10.0);
     }
-    rig.assert_rules();
-    sent
+    harness.assert_no_violations();
+    requests_by_server
 }
 
 #[test]
 fn invalid_load_reports_starve_no_server() {
-    for said in [vec![], vec![f64::NAN], vec![f64::INFINITY], vec![0.0], vec![-1e300], vec![1e300, 1.0]] {
-        let sent = share(said.clone());
-        assert!(sent[1..].iter().all(|n| *n > 20), "{said:?}: {sent:?}");
+    for report in [vec![], vec![f64::NAN], vec![f64::INFINITY], vec![0.0], vec![-1e300], vec![1e300, 1.0]] {
+        let requests = requests_by_server(&report);
+        assert!(requests[1..].iter().all(|count| *count > 20), "{report:?}: {requests:?}");
     }
-    let sent = share(vec![f64::NAN]);
-    assert!(sent[0] > 0, "a report that is no number is no report: {sent:?}");
+
+    let requests = requests_by_server(&[f64::NAN]);
+    assert!(requests[0] > 0, "a report that is no number is no report: {requests:?}");
 }
 
 #[test]
 fn clock_jump_keeps_the_fleet_in_use_and_every_request_answered() {
-    let mut rig = Rig::new(settings(), 3);
-    rig.list(fleet(4, 1, 1));
-    let open: Vec<_> = (0..6).map(|_| rig.ask(0).0).collect();
-    rig.now = rig.now + Span::from_ms(3_600_000.0);
-    for id in open {
-        rig.answer(id, 0, Outcome::TimedOut, 800.0);
+    let mut harness = Harness::with_endpoints(settings(), 3, fleet(4, 1, 1));
+    let in_flight: Vec<SubmittedRequest> = (0..6).map(|_| harness.send_request(0)).collect();
+
+    harness.now = harness.now + Span::from_ms(3_600_000.0);
+    for request in in_flight {
+        harness.end_attempt(request.id, 0, Outcome::TimedOut, 800.0);
     }
-    rig.wait(Span::from_ms(1000.0));
-    let served = (0..40).filter(|_| {
-        let (id, server) = rig.ask(0);
-        rig.wait(Span::from_ms(20.0));
-        if server.is_some() {
-            rig.answer(id, 0, Outcome::Success, 20.0);
+    harness.advance_ms(1000.0);
+
+    let is_served = |_: &u32| {
+        let request = harness.send_request(0);
+        harness.advance_ms(20.0);
+        if request.is_sent() {
+            harness.succeed(request.id, 20.0);
         }
-        rig.wait(Span::from_ms(200.0));
-        server.is_some()
-    });
-    assert!(served.count() > 30);
-    assert_eq!(rig.observer.lost(rig.now), 0);
+        harness.advance_ms(200.0);
+        request.is_sent()
+    };
+    let served_count = (0..40).filter(is_served).count();
+    assert!(served_count > 30);
+    assert_eq!(harness.lost_request_count(), 0);
 }
--- /dev/null
+++ b/crates/balancer-core/tests/load_polling.rs
@@ -0,0 +1,121 @@
+//! Tests of load polling: in a sparse view, cheap health checks tell the loads of a request's candidates.
+
+mod common;
+
+use balancer_core::*;
+use common::*;
+
+/// The one of ten servers that is warming up.
+const WARMING_UP: ServerId = ServerId(9);
+
+fn polling_settings() -> Settings {
+    Settings {
+        allows_health_checks: true,
+        load_report_source: LoadReportSource::HealthChecks,
+        load_report_fields: vec![LoadReportField::Utilisation, LoadReportField::InFlight],
+        ..sparse_settings()
+    }
+}
+
+/// The servers whose health the last actions check.
+fn polled_servers(harness: &Harness) -> Vec<ServerId> {
+    let polled = |action: &Action| match action {
+        Action::CheckHealth { server } => Some(*server),
+        _ => None,
+    };
+    harness.actions.iter().filter_map(polled).collect()
+}
+
+/// A polled server reports its load; returns where a request is sent then.
+fn report_load(harness: &mut Harness, server: ServerId, in_flight: f64) -> Option<ServerId> {
+    let actions = harness.handle(Event::HealthChecked {
+        server,
+        outcome: Outcome::Success,
+        elapsed: Span::from_ms(1.0),
+        load_report: Some(vec![0.5, in_flight]),
+    });
+    actions.iter().find_map(|action| match action {
+        Action::Send { server, .. } => Some(*server),
+        _ => None,
+    })
+}
+
+/// A third of the answers were late by chance alone, own counts being all zero.
+#[test]
+fn cheap_load_polls_find_the_least_loaded_candidate() {
+    let mut harness = Harness::with_endpoints(polling_settings(), 10, fleet(20, 1, 1));
+    let request = harness.send_request(0);
+    assert_eq!(request.server, None, "it waits for its candidates");
+    let candidates = polled_servers(&harness);
+    assert!(candidates.len() >= 2, "{candidates:?}");
+
+    let mut target = None;
+    for (position, &server) in candidates.iter().enumerate() {
+        let in_flight = if position == 1 { 0.0 } else { 4.0 };
+        target = report_load(&mut harness, server, in_flight);
+        assert_eq!(target.is_some(), position + 1 == candidates.len(), "sent with the last report");
+    }
+
+    assert_eq!(target, Some(candidates[1]));
+    harness.assert_no_violations();
+}
+
+#[test]
+fn silent_poll_candidate_is_neither_awaited_nor_chosen() {
+    let mut harness = Harness::with_endpoints(polling_settings(), 11, fleet(20, 1, 1));
+
+    let request = harness.send_request(0);
+    let candidates = polled_servers(&harness);
+    report_load(&mut harness, candidates[0], 3.0);
+    let actions = harness.advance_ms(0.06 * OBJECTIVE_MS);
+    assert_eq!(find_target(&actions, request.id), Some(candidates[0]));
+
+    let request = harness.send_request(0);
+    let actions = harness.advance_ms(0.06 * OBJECTIVE_MS);
+    assert!(find_target(&actions, request.id).is_some(), "with no report at all it is sent all the same");
+}
+
+#[test]
+fn costly_or_useless_load_polls_are_not_sent() {
+    let costly = Costs { health_check: 0.01, ..Costs::default() };
+    for settings in [
+        Settings { costs: costly, ..polling_settings() },
+        Settings { load_report_fields: vec![LoadReportField::Utilisation], ..polling_settings() },
+        Settings { allows_health_checks: false, ..polling_settings() },
+        Settings { balancer_count: 10, ..polling_settings() },
+    ] {
+        let mut harness = Harness::with_endpoints(settings, 12, fleet(20, 1, 1));
+
+        let request = harness.send_request(0);
+
+        assert!(request.is_sent());
+        assert!(polled_servers(&harness).is_empty());
+    }
+}
+
+/// An idle server that is warming up would win every choice that it is polled for, at all balancers at once.
+#[test]
+fn idle_warming_up_server_does_not_attract_requests() {
+    for settings in [sparse_settings(), polling_settings()] {
+        let mut harness = Harness::new(settings, 13);
+        let mut endpoints = fleet(10, 1, 1);
+        endpoints[9].started_at = Some(harness.now);
+        harness.set_endpoints(endpoints);
+
+        let (mut to_warming_up, mut total) = (0, 0);
+        for _ in 0..400 {
+            let request = harness.send_request(0);
+            let mut target = request.server;
+            for server in polled_servers(&harness) {
+                let in_flight = if server == WARMING_UP { 0.0 } else { 2.0 };
+                target = target.or(report_load(&mut harness, server, in_flight));
+            }
+            to_warming_up += u32::from(target.expect("sent") == WARMING_UP);
+            total += 1;
+            harness.succeed(request.id, 20.0);
+            harness.advance_ms(2.0);
+        }
+
+        assert!(to_warming_up <= total / 20, "{to_warming_up} of {total} to one of ten, warming up");
+    }
+}
--- a/crates/balancer-core/tests/memory_growth.rs
+++ b/crates/balancer-core/tests/memory_growth.rs
@@ -1,45 +1,73 @@
-//! Guards against records that outlive their requests: memory must not grow with requests served.
+//! Tests that records do not outlive their requests: memory must not grow with requests served.
+
 mod common;
+
 use balancer_core::*;
 use common::*;
 
 /// Resident memory of this process in KiB; `None` where the system does not tell.
-fn resident() -> Option<u64> {
-    let text = std::fs::read_to_string("/proc/self/status").ok()?;
-    text.lines().find(|l| l.starts_with("VmRSS"))?.split_whitespace().nth(1)?.parse().ok()
+fn resident_kib() -> Option<u64> {
+    let status = std::fs::read_to_string("/proc/self/status").ok()?;
+    let line = status.lines().find(|line| line.starts_with("VmRSS"))?;
+    line.split_whitespace().nth(1)?.parse().ok()
+}
+
+/// A balancer that is sent requests, each with a routing key of its own and answered at once.
+struct Service {
+    balancer: Balancer,
+    now: Time,
+    next_request: u64,
+    actions: Vec<Action>,
+}
+
+impl Service {
+    fn new(settings: Settings) -> Self {
+        let balancer = Balancer::new(settings, 1).expect("usable settings");
+        let now = Time::from_ms(1000.0);
+        let mut service = Service { balancer, now, next_request: 0, actions: Vec::new() };
+        service.balancer.start(now, &mut service.actions);
+        service.handle(Event::Endpoints(EndpointUpdate::Complete(fleet(6, 2, 2))));
+        service
+    }
+
+    fn handle(&mut self, event: Event) {
+        self.balancer.handle(self.now, event, &mut self.actions);
+    }
+
+    fn serve(&mut self, request_count: u64) {
+        for _ in 0..request_count {
+            self.serve_one();
+        }
+    }
+
+    fn serve_one(&mut self) {
+        let id = RequestId(self.next_request);
+        self.next_request += 1;
+        self.now = self.now + Span::from_ms(5.0);
+        self.actions.clear();
+        let mut request = Request::new(id, ClassId(0), Span::from_ms(800.0));
+        request.routing_key = Some(RoutingKey(id.0));
+        self.handle(Event::Request(request));
+        assert!(self.actions.iter().any(is_send), "{id:?} was not sent");
+        self.handle(Event::AttemptEnded {
+            request: id,
+            attempt: AttemptNumber(0),
+            outcome: Outcome::Success,
+            elapsed: Span::from_ms(20.0),
+            load_report: None,
+            is_request_finished: true,
+        });
+    }
 }
 
 #[test]
 fn memory_does_not_grow_with_requests_served() {
-    let settings =
-        Settings { classes: vec![class(Effect::Idempotent)], has_key_affinity: true, ..Settings::default() };
-    let mut balancer = Balancer::new(settings, 1).unwrap();
-    let mut actions = Vec::new();
-    let mut now = Time::from_ms(1000.0);
-    balancer.start(now, &mut actions);
-    balancer.handle(now, Event::Endpoints(EndpointUpdate::Complete(fleet(6, 2, 2))), &mut actions);
-    let mut serve = |from: u64, count: u64| {
-        for id in from..from + count {
-            now = now + Span::from_ms(5.0);
-            actions.clear();
-            let mut request = Request::new(RequestId(id), ClassId(0), Span::from_ms(800.0));
-            request.routing_key = Some(RoutingKey(id));
-            balancer.handle(now, Event::Request(request), &mut actions);
-            assert!(actions.iter().any(|a| matches!(a, Action::Send { .. })), "request {id} was not sent");
-            let outcome = Event::AttemptEnded {
-                request: RequestId(id),
-                attempt: AttemptNumber(0),
-                outcome: Outcome::Success,
-                elapsed: Span::from_ms(20.0),
-                load_report: None,
-                is_request_finished: true,
-            };
-            balancer.handle(now, outcome, &mut actions);
-        }
-    };
-    serve(0, 50_000);
-    let Some(before) = resident() else { return };
-    serve(50_000, 400_000);
-    let grown = resident().expect("told before").saturating_sub(before);
-    assert!(grown < 16 * 1024, "{grown} KiB more after 400,000 further requests");
+    let mut service = Service::new(Settings { has_key_affinity: true, ..idempotent_settings() });
+    service.serve(50_000);
+    let Some(kib_before) = resident_kib() else { return };
+
+    service.serve(400_000);
+
+    let growth_kib = resident_kib().expect("told before").saturating_sub(kib_before);
+    assert!(growth_kib < 16 * 1024, "{growth_kib} KiB more after 400,000 further requests");
 }
--- a/crates/balancer-core/tests/outlier_ejection.rs
+++ b/crates/balancer-core/tests/outlier_ejection.rs
@@ -1,5 +1,8 @@
-//! Guards against servers that hang, fail fast or slow down, and against taking a crowd for sick servers.
+//! Tests that servers which hang, fail fast or slow down are ejected and come back, and that load on all
+//! servers is not taken for faults of some.
+
 mod common;
+
 use balancer_core::*;
 use common::*;
 
@@ -7,189 +10,224 @@
     Settings { classes: vec![class(effect)], ..Settings::default() }
 }
 
-/// Requests one after the other, each answered by `answer`; how many went to each of `n` servers.
-fn serve(rig: &mut Rig, n: usize, count: u32, answer: impl Fn(ServerId) -> (Outcome, f64)) -> Vec<u32> {
-    let mut sent = vec![0; n];
-    for _ in 0..count {
-        let (id, mut server) = rig.ask(0);
-        let mut attempt = 0;
-        while let Some(to) = server {
-            sent[to.0 as usize] += 1;
-            let (outcome, ms) = answer(to);
-            rig.wait(Span::from_ms(ms));
-            rig.answer(id, attempt, outcome, ms);
-            server = rig.sent_to(id);
-            attempt += 1;
-        }
-        rig.wait(Span::from_ms(5.0));
-    }
-    rig.assert_rules();
-    sent
+fn harness(effect: Effect, seed: u64, server_count: u32) -> Harness {
+    Harness::with_endpoints(settings(effect), seed, fleet(server_count, 1, 1))
+}
+
+/// Requests one after the other; how many attempts each of `server_count` servers got.
+fn serve(
+    harness: &mut Harness,
+    server_count: usize,
+    request_count: u32,
+    respond: impl Fn(ServerId) -> Response,
+) -> Vec<u32> {
+    let load = SequentialLoad { server_count, request_count, pause_ms: 5.0 };
+    let attempts_by_server = harness.serve_sequentially(load, respond);
+    harness.assert_no_violations();
+    attempts_by_server
+}
+
+fn serve_well(harness: &mut Harness, server_count: usize, request_count: u32, elapsed_ms: f64) -> Vec<u32> {
+    serve(harness, server_count, request_count, |_| Response::success(elapsed_ms))
+}
+
+fn is_cancel(action: &Action) -> bool {
+    matches!(action, Action::Cancel { .. })
+}
+
+fn cancel_of_first_attempt(request: RequestId) -> Action {
+    Action::Cancel { request, attempt: AttemptNumber(0) }
 }
 
 #[test]
 fn quick_errors_do_not_attract_requests() {
-    for bad in [Outcome::ServerError, Outcome::ConnectFailed, Outcome::ConnectionReset] {
-        let mut rig = Rig::new(settings(Effect::Idempotent), 11);
-        rig.list(fleet(5, 1, 1));
-        let sick = ServerId(2);
-        let sent = serve(&mut rig, 5, 400, |s| if s == sick { (bad, 0.2) } else { (Outcome::Success, 30.0) });
-        assert!(sent[2] <= 12, "{bad:?}: {sent:?}, of them trials only");
-        assert!(sent[2] >= 3, "{bad:?}: {sent:?}, it is tried again");
-        let well = serve(&mut rig, 5, 400, |_| (Outcome::Success, 30.0));
-        assert!(well[2] > 30, "{bad:?}: {well:?}, it is taken back");
+    for fault in [Outcome::ServerError, Outcome::ConnectFailed, Outcome::ConnectionReset] {
+        let mut harness = harness(Effect::Idempotent, 11, 5);
+
+        let during_fault = serve(&mut harness, 5, 400, |server| match server.0 {
+            2 => Response { outcome: fault, elapsed_ms: 0.2 },
+            _ => Response::success(30.0),
+        });
+        let after_fault = serve_well(&mut harness, 5, 400, 30.0);
+
+        assert!(during_fault[2] <= 12, "{fault:?}: {during_fault:?}, of them probes only");
+        assert!(during_fault[2] >= 3, "{fault:?}: {during_fault:?}, it is tried again");
+        assert!(after_fault[2] > 30, "{fault:?}: {after_fault:?}, it is restored");
     }
 }
 
 #[test]
 fn much_slower_server_is_ejected_and_restored() {
-    let mut rig = Rig::new(settings(Effect::Idempotent), 11);
-    rig.list(fleet(5, 1, 1));
-    let sent = serve(&mut rig, 5, 300, |s| (Outcome::Success, if s.0 == 2 { 300.0 } else { 30.0 }));
-    assert!(sent[2] < 20, "{sent:?}");
-    let well = serve(&mut rig, 5, 600, |_| (Outcome::Success, 30.0));
-    assert!(well[2] > 30, "{well:?}");
+    let mut harness = harness(Effect::Idempotent, 11, 5);
+
+    let elapsed_ms = |server: ServerId| if server.0 == 2 { 300.0 } else { 30.0 };
+    let while_slow = serve(&mut harness, 5, 300, |server| Response::success(elapsed_ms(server)));
+    let after_recovery = serve_well(&mut harness, 5, 600, 30.0);
+
+    assert!(while_slow[2] < 20, "{while_slow:?}");
+    assert!(after_recovery[2] > 30, "{after_recovery:?}");
 }
 
 #[test]
 fn uniformly_slow_fleet_keeps_all_its_servers() {
-    let mut rig = Rig::new(settings(Effect::Idempotent), 11);
-    rig.list(fleet(5, 1, 1));
-    serve(&mut rig, 5, 100, |_| (Outcome::Success, 30.0));
-    let sent = serve(&mut rig, 5, 300, |_| (Outcome::Success, 110.0));
-    assert!(sent.iter().all(|n| *n > 20), "{sent:?}");
+    let mut harness = harness(Effect::Idempotent, 11, 5);
+    serve_well(&mut harness, 5, 100, 30.0);
+
+    let attempts = serve_well(&mut harness, 5, 300, 110.0);
+
+    assert!(attempts.iter().all(|count| *count > 20), "{attempts:?}");
+}
+
+/// The server that more than one of these requests was sent to.
+fn server_with_several(requests: &[SubmittedRequest]) -> Option<ServerId> {
+    let count_at = |server| requests.iter().filter(|request| request.server == Some(server)).count();
+    requests.iter().filter_map(|request| request.server).find(|&server| count_at(server) > 1)
 }
 
 #[test]
 fn silent_server_is_ejected_and_its_idempotent_requests_are_retried() {
-    let mut rig = Rig::new(settings(Effect::Idempotent), 5);
-    rig.list(fleet(4, 1, 1));
-    serve(&mut rig, 4, 40, |_| (Outcome::Success, 20.0));
-    // Two requests on one server, none on the others: only there nothing comes back.
-    let asked: Vec<_> = (0..8).map(|_| rig.ask(0)).filter_map(|(id, s)| s.map(|s| (id, s))).collect();
-    let hung = asked.iter().map(|a| a.1).find(|s| asked.iter().filter(|a| a.1 == *s).count() > 1).unwrap();
-    for (id, server) in &asked {
-        if *server != hung {
-            rig.answer(*id, 0, Outcome::Success, 20.0);
-        }
+    let mut harness = harness(Effect::Idempotent, 5, 4);
+    serve_well(&mut harness, 4, 40, 20.0);
+    // Two requests are at the silent server and none at the others: only there nothing comes back.
+    let requests = harness.send_burst(8);
+    let silent = server_with_several(&requests).expect("more requests than servers");
+    let (hanging, answered): (Vec<_>, Vec<_>) =
+        requests.into_iter().partition(|request| request.server == Some(silent));
+    for request in answered {
+        harness.succeed(request.id, 20.0);
     }
-    let actions = rig.wait(Span::from_ms(150.0));
-    for &(id, _) in asked.iter().filter(|a| a.1 == hung) {
-        assert!(actions.contains(&Action::Cancel { request: id, attempt: AttemptNumber(0) }), "{actions:?}");
-        rig.answer(id, 0, Outcome::Cancelled, 150.0);
-        assert!(rig.sent_to(id).is_some_and(|s| s != hung));
-        rig.answer(id, 1, Outcome::Success, 20.0);
+
+    let actions = harness.advance_ms(150.0);
+
+    for request in hanging {
+        assert!(actions.contains(&cancel_of_first_attempt(request.id)), "{actions:?}");
+        harness.end_attempt(request.id, 0, Outcome::Cancelled, 150.0);
+        assert!(harness.target_of(request.id).is_some_and(|server| server != silent));
+        harness.end_attempt(request.id, 1, Outcome::Success, 20.0);
     }
-    let after = serve(&mut rig, 4, 6, |_| (Outcome::Success, 20.0));
-    assert_eq!(after[hung.0 as usize], 0, "not before its first trial");
+    let attempts = serve_well(&mut harness, 4, 6, 20.0);
+    assert_eq!(attempts[silent.0 as usize], 0, "not before its first probe");
 }
 
 /// On quiet days costly requests made healthy servers suspect, each a second time in vain.
 #[test]
 fn costly_request_is_not_overdue_before_its_objective() {
-    let mut rig = Rig::new(settings(Effect::Idempotent), 5);
-    rig.list(fleet(4, 1, 1));
-    serve(&mut rig, 4, 40, |_| (Outcome::Success, 20.0));
-    assert!(rig.ask(0).1.is_some());
-    let seen =
-        |actions: &[Action]| actions.iter().any(|a| matches!(a, Action::Cancel { .. } | Action::Log { .. }));
-    assert!(!seen(&rig.wait(Span::from_ms(195.0))));
-    assert!(seen(&rig.wait(Span::from_ms(60.0))), "past its aim it counts");
+    let mut harness = harness(Effect::Idempotent, 5, 4);
+    serve_well(&mut harness, 4, 40, 20.0);
+    assert!(harness.send_request(0).is_sent());
+
+    let before_objective = harness.advance_ms(195.0);
+    let after_objective = harness.advance_ms(60.0);
+
+    let is_reaction = |action: &Action| is_cancel(action) || matches!(action, Action::Log { .. });
+    assert!(!before_objective.iter().any(is_reaction));
+    assert!(after_objective.iter().any(is_reaction), "past its objective it counts");
 }
 
 /// Its answer is lost, but its server answers others: it once waited for its deadline and held a place till
 /// then.
 #[test]
 fn hanging_idempotent_request_is_cancelled_and_retried() {
-    let late = RequestClass { late_value: 0.3, ..class(Effect::Idempotent) };
-    let mut rig = Rig::new(Settings { classes: vec![late], ..Settings::default() }, 5);
-    rig.list(fleet(1, 1, 1));
-    serve(&mut rig, 1, 40, |_| (Outcome::Success, 20.0));
-    let lost = rig.ask(0).0;
-    let cancel = Action::Cancel { request: lost, attempt: AttemptNumber(0) };
-    let called_back = (0..20).any(|_| {
-        let (id, server) = rig.ask(0);
-        assert!(server.is_some());
-        let seen = rig.wait(Span::from_ms(20.0)).contains(&cancel);
-        rig.answer(id, 0, Outcome::Success, 20.0);
-        seen
+    let late_class = RequestClass { late_value: 0.3, ..class(Effect::Idempotent) };
+    let settings = Settings { classes: vec![late_class], ..Settings::default() };
+    let mut harness = Harness::with_endpoints(settings, 5, fleet(1, 1, 1));
+    serve_well(&mut harness, 1, 40, 20.0);
+    let hanging = harness.send_request(0).id;
+
+    let cancel = cancel_of_first_attempt(hanging);
+    let is_cancelled = (0..20).any(|_| {
+        let request = harness.send_request(0);
+        assert!(request.is_sent());
+        let actions = harness.advance_ms(20.0);
+        harness.succeed(request.id, 20.0);
+        actions.contains(&cancel)
     });
-    assert!(called_back, "well before its deadline");
-    rig.answer(lost, 0, Outcome::Cancelled, 300.0);
-    assert!(rig.sent_to(lost).is_some(), "and sent again");
-    rig.assert_rules();
+    harness.end_attempt(hanging, 0, Outcome::Cancelled, 300.0);
+
+    assert!(is_cancelled, "well before its deadline");
+    assert!(harness.target_of(hanging).is_some(), "and sent again");
+    harness.assert_no_violations();
 }
 
 #[test]
 fn at_most_once_request_is_not_cancelled() {
-    let mut rig = Rig::new(settings(Effect::AtMostOnce), 5);
-    rig.list(fleet(4, 1, 1));
-    let (id, _) = rig.ask(0);
-    let actions = rig.wait(Span::from_ms(790.0));
-    assert!(!actions.iter().any(|a| matches!(a, Action::Cancel { .. })), "{actions:?}");
-    rig.answer(id, 0, Outcome::TimedOut, 800.0);
-    rig.assert_rules();
+    let mut harness = harness(Effect::AtMostOnce, 5, 4);
+    let request = harness.send_request(0);
+
+    let actions = harness.advance_ms(790.0);
+
+    assert!(!actions.iter().any(is_cancel), "{actions:?}");
+    harness.end_attempt(request.id, 0, Outcome::TimedOut, 800.0);
+    harness.assert_no_violations();
 }
 
 /// Answers that are lost on the way, one in seven, once cut a quick server's limit to one request.
 #[test]
 fn lost_answer_among_quick_ones_does_not_count_as_load() {
-    let mut rig = Rig::new(settings(Effect::AtMostOnce), 5);
-    rig.list(fleet(1, 1, 1));
-    serve(&mut rig, 1, 100, |_| (Outcome::Success, 20.0));
+    let mut harness = harness(Effect::AtMostOnce, 5, 1);
+    serve_well(&mut harness, 1, 100, 20.0);
+
     for _ in 0..40 {
-        let (lost, server) = rig.ask(0);
-        assert!(server.is_some(), "there is room for it");
+        let lost = harness.send_request(0);
+        assert!(lost.is_sent(), "there is capacity for it");
         for _ in 0..6 {
-            rig.ask_and_answer(20.0).expect("there is room beside it");
+            harness.send_and_succeed(20.0).expect("there is capacity beside it");
         }
-        rig.wait(Span::from_ms(680.0));
-        rig.answer(lost, 0, Outcome::TimedOut, 800.0);
+        harness.advance_ms(680.0);
+        harness.end_attempt(lost.id, 0, Outcome::TimedOut, 800.0);
     }
-    rig.assert_rules();
+
+    harness.assert_no_violations();
 }
 
 /// Where no report tells the loads, a tie once went to the server that had been sent the least since the
 /// start: one that joins late, or comes back, drew all ties until it had caught up with the others.
 #[test]
 fn late_joining_server_does_not_win_every_tie() {
-    let mut rig = Rig::new(settings(Effect::Idempotent), 11);
-    rig.list(fleet(4, 1, 1));
-    serve(&mut rig, 5, 400, |_| (Outcome::Success, 30.0));
-    rig.list(fleet(5, 1, 1));
-    let sent = serve(&mut rig, 5, 100, |_| (Outcome::Success, 30.0));
-    assert!((5..50).contains(&sent[4]), "{sent:?}: about a fifth are its");
+    let mut harness = harness(Effect::Idempotent, 11, 4);
+    serve_well(&mut harness, 5, 400, 30.0);
+
+    harness.set_endpoints(fleet(5, 1, 1));
+    let attempts = serve_well(&mut harness, 5, 100, 30.0);
+
+    assert!((5..50).contains(&attempts[4]), "{attempts:?}: about a fifth are its");
 }
 
-/// Without a safe class nothing would ever try a suspect, so others must after a while.
+/// Without an idempotent class nothing would ever probe an ejected server, so others must after a while.
 #[test]
 fn ejected_server_is_restored_without_idempotent_classes() {
-    let mut rig = Rig::new(settings(Effect::AtMostOnce), 11);
-    rig.list(fleet(3, 1, 1));
-    serve(&mut rig, 3, 100, |s| match s.0 {
-        1 => (Outcome::ServerError, 0.2),
-        _ => (Outcome::Success, 20.0),
+    let mut harness = harness(Effect::AtMostOnce, 11, 3);
+    serve(&mut harness, 3, 100, |server| match server.0 {
+        1 => Response { outcome: Outcome::ServerError, elapsed_ms: 0.2 },
+        _ => Response::success(20.0),
     });
-    let well = serve(&mut rig, 3, 400, |_| (Outcome::Success, 20.0));
-    assert!(well[1] > 30, "{well:?}");
+
+    let attempts = serve_well(&mut harness, 3, 400, 20.0);
+
+    assert!(attempts[1] > 30, "{attempts:?}");
 }
 
 #[test]
 fn unreachable_majority_leaves_the_rest_in_use() {
-    let mut rig = Rig::new(settings(Effect::Idempotent), 11);
-    rig.list(fleet(8, 1, 1));
-    let cut = |s: ServerId| if s.0 < 6 { (Outcome::ConnectFailed, 100.0) } else { (Outcome::Success, 20.0) };
-    serve(&mut rig, 8, 60, cut);
-    let sent = serve(&mut rig, 8, 100, cut);
-    assert!(sent[..6].iter().sum::<u32>() < 40, "{sent:?}");
-    assert!(sent[6] + sent[7] >= 95, "{sent:?}");
+    let mut harness = harness(Effect::Idempotent, 11, 8);
+    let respond = |server: ServerId| match server.0 {
+        0..6 => Response { outcome: Outcome::ConnectFailed, elapsed_ms: 100.0 },
+        _ => Response::success(20.0),
+    };
+    serve(&mut harness, 8, 60, respond);
+
+    let attempts = serve(&mut harness, 8, 100, respond);
+
+    assert!(attempts[..6].iter().sum::<u32>() < 40, "{attempts:?}");
+    assert!(attempts[6] + attempts[7] >= 95, "{attempts:?}");
 }
 
 #[test]
 fn wholly_failing_fleet_is_still_sent_requests() {
-    let mut rig = Rig::new(settings(Effect::Idempotent), 11);
-    rig.list(fleet(4, 1, 1));
-    serve(&mut rig, 4, 40, |_| (Outcome::ServerError, 1.0));
-    let sent = serve(&mut rig, 4, 40, |_| (Outcome::Success, 20.0));
-    assert!(sent.iter().sum::<u32>() >= 40, "{sent:?}");
+    let mut harness = harness(Effect::Idempotent, 11, 4);
+    serve(&mut harness, 4, 40, |_| Response { outcome: Outcome::ServerError, elapsed_ms: 1.0 });
+
+    let attempts = serve_well(&mut harness, 4, 40, 20.0);
+
+    assert!(attempts.iter().sum::<u32>() >= 40, "{attempts:?}");
 }
--- a/crates/balancer-core/tests/recorded_actions.rs
+++ b/crates/balancer-core/tests/recorded_actions.rs
@@ -7,7 +7,7 @@
 mod common;
 
 use balancer_core::*;
-use common::{class, keyed};
+use common::{class, deduplicated};
 use fnv::FnvHasher;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -493,9 +493,9 @@
             latency_objective: Span::from_ms(120.0),
             ..class(Effect::AtMostOnce)
         },
-        RequestClass { priority_weight: 2.0, ..class(keyed(DedupScope::Fleet, 400.0)) },
-        RequestClass { priority_weight: 0.3, ..class(keyed(DedupScope::Zone, 300.0)) },
-        RequestClass { late_value: 0.4, ..class(keyed(DedupScope::Cell, 600.0)) },
+        RequestClass { priority_weight: 2.0, ..class(deduplicated(DedupScope::Fleet, 400.0)) },
+        RequestClass { priority_weight: 0.3, ..class(deduplicated(DedupScope::Zone, 300.0)) },
+        RequestClass { late_value: 0.4, ..class(deduplicated(DedupScope::Cell, 600.0)) },
         RequestClass { late_value: 0.3, is_streaming: true, ..class(Effect::Idempotent) },
     ]
 }
@@ -574,7 +574,7 @@
 fn routing_keys() -> Scenario {
     let settings = Settings {
         has_key_affinity: true,
-        classes: vec![class(Effect::Idempotent), class(keyed(DedupScope::Fleet, 300.0))],
+        classes: vec![class(Effect::Idempotent), class(deduplicated(DedupScope::Fleet, 300.0))],
         ..small_deployment()
     };
     Scenario {
--- a/crates/balancer-core/tests/rule_checker.rs
+++ b/crates/balancer-core/tests/rule_checker.rs
@@ -1,9 +1,14 @@
-//! Guards the other tests: the observer must object to a broken decision of each kind.
+//! Tests of the rule checker that the other tests rely on: it must object to a violation of each kind.
+
 mod common;
+
 use balancer_core::*;
 use common::*;
 
-fn watch(effect: Effect) -> (Observer, Time) {
+const REQUEST: RequestId = RequestId(1);
+
+/// A checker that has seen a fleet of four servers and one request.
+fn checker_with_request(effect: Effect) -> (RuleChecker, Time) {
     let settings = Settings {
         classes: vec![class(effect)],
         initial_capacity: 0.2,
@@ -11,20 +16,31 @@
         ..Settings::default()
     };
     let now = Time::from_ms(1000.0);
-    let mut observer = Observer::new(&settings);
-    observer.event(now, &Event::Endpoints(EndpointUpdate::Complete(fleet(4, 2, 4))));
-    observer.event(now, &Event::Request(Request::new(RequestId(1), ClassId(0), Span::from_ms(800.0))));
-    (observer, now)
+    let mut checker = RuleChecker::new(&settings);
+    checker.observe_event(now, &Event::Endpoints(EndpointUpdate::Complete(fleet(4, 2, 4))));
+    checker.observe_event(now, &request_event(REQUEST));
+    (checker, now)
+}
+
+fn request_event(id: RequestId) -> Event {
+    Event::Request(Request::new(id, ClassId(0), Span::from_ms(800.0)))
+}
+
+fn changed(endpoint: Endpoint) -> Event {
+    Event::Endpoints(EndpointUpdate::Changes(vec![endpoint]))
 }
 
 fn send(server: u32, now: Time) -> Action {
-    let timeout_at = now + Span::from_ms(1.0);
-    Action::Send { request: RequestId(1), server: ServerId(server), timeout_at, write_by: None }
+    send_request(REQUEST, server, now + Span::from_ms(1.0))
+}
+
+fn send_request(request: RequestId, server: u32, timeout_at: Time) -> Action {
+    Action::Send { request, server: ServerId(server), timeout_at, write_by: None }
 }
 
-fn ended(outcome: Outcome, attempt: u32) -> Event {
+fn attempt_ended(outcome: Outcome, attempt: u32) -> Event {
     Event::AttemptEnded {
-        request: RequestId(1),
+        request: REQUEST,
         attempt: AttemptNumber(attempt),
         outcome,
         elapsed: Span::from_ms(1.0),
@@ -33,74 +49,75 @@
     }
 }
 
-fn objects(observer: &Observer, text: &str) {
-    assert!(observer.faults.iter().any(|f| f.contains(text)), "{text}: {:?}", observer.faults);
+fn assert_violated(checker: &RuleChecker, rule: Rule) {
+    let is_violated = checker.violations.iter().any(|violation| violation.rule == rule);
+    assert!(is_violated, "{rule:?}: {:?}", checker.violations);
+}
+
+fn assert_no_violations(checker: &RuleChecker) {
+    assert!(checker.violations.is_empty(), "{:?}", checker.violations);
 }
 
 #[test]
 fn lost_late_and_duplicate_answers_and_sends_after_the_end_are_violations() {
-    let (mut o, now) = watch(Effect::Idempotent);
-    assert_eq!(o.lost(now + Span::from_ms(900.0)), 1);
-    o.action(now, &Action::Reject { request: RequestId(1), retry_after: None });
-    assert!(o.faults.is_empty());
-    o.action(now, &send(0, now));
-    objects(&o, "sent after its end");
-    o.action(now, &Action::Fail { request: RequestId(1) });
-    objects(&o, "ended twice");
-    let (mut o, now) = watch(Effect::Idempotent);
-    o.action(now + Span::from_ms(850.0), &Action::Fail { request: RequestId(1) });
-    objects(&o, "ended too late");
+    let (mut checker, now) = checker_with_request(Effect::Idempotent);
+    assert_eq!(checker.lost_request_count(now + Span::from_ms(900.0)), 1);
+    checker.check_action(now, &Action::Reject { request: REQUEST, retry_after: None });
+    assert_no_violations(&checker);
+    checker.check_action(now, &send(0, now));
+    assert_violated(&checker, Rule::NoSendAfterTheEnd);
+    checker.check_action(now, &Action::Fail { request: REQUEST });
+    assert_violated(&checker, Rule::OneEnd);
+
+    let (mut checker, now) = checker_with_request(Effect::Idempotent);
+    checker.check_action(now + Span::from_ms(850.0), &Action::Fail { request: REQUEST });
+    assert_violated(&checker, Rule::EndInTime);
 }
 
 #[test]
 fn duplicate_effects_are_violations() {
-    let (mut o, now) = watch(Effect::AtMostOnce);
-    o.action(now, &send(0, now));
-    o.action(now, &send(1, now));
-    objects(&o, "two attempts at once");
-    o.event(now, &ended(Outcome::ServerError, 0));
-    objects(&o, "must not go out again");
-    o.action(now, &Action::Reject { request: RequestId(1), retry_after: None });
-    objects(&o, "refused though it may have run");
-
-    let (mut o, now) = watch(keyed(DedupScope::Zone, 100.0));
-    o.action(now, &send(0, now));
-    o.event(now, &ended(Outcome::TimedOut, 0));
-    o.action(now, &send(2, now));
-    assert!(o.faults.is_empty(), "{:?}", o.faults);
-    o.event(now, &ended(Outcome::TimedOut, 1));
-    o.action(now, &send(1, now));
-    objects(&o, "outside the group");
-    let late = now + Span::from_ms(150.0);
-    o.event(late, &ended(Outcome::TimedOut, 2));
-    o.action(late, &send(0, late));
-    objects(&o, "must not go out again");
+    let (mut checker, now) = checker_with_request(Effect::AtMostOnce);
+    checker.check_action(now, &send(0, now));
+    checker.check_action(now, &send(1, now));
+    assert_violated(&checker, Rule::NoHedgingUnlessAllowed);
+    checker.observe_event(now, &attempt_ended(Outcome::ServerError, 0));
+    assert_violated(&checker, Rule::NoRetryAfterItMayHaveRun);
+    checker.check_action(now, &Action::Reject { request: REQUEST, retry_after: None });
+    assert_violated(&checker, Rule::NoRejectionAfterItMayHaveRun);
+
+    let (mut checker, now) = checker_with_request(deduplicated(DedupScope::Zone, 100.0));
+    checker.check_action(now, &send(0, now));
+    checker.observe_event(now, &attempt_ended(Outcome::TimedOut, 0));
+    checker.check_action(now, &send(2, now));
+    assert_no_violations(&checker);
+    checker.observe_event(now, &attempt_ended(Outcome::TimedOut, 1));
+    checker.check_action(now, &send(1, now));
+    assert_violated(&checker, Rule::RetryWithinDeduplicationScope);
+    let after_window = now + Span::from_ms(150.0);
+    checker.observe_event(after_window, &attempt_ended(Outcome::TimedOut, 2));
+    checker.check_action(after_window, &send(0, after_window));
+    assert_violated(&checker, Rule::NoRetryAfterItMayHaveRun);
 }
 
 #[test]
 fn sends_to_draining_or_overloaded_warming_up_servers_are_violations() {
-    let (mut o, now) = watch(Effect::Idempotent);
-    let line = Endpoint { status: EndpointStatus::Draining, ..Endpoint::serving(ServerId(0)) };
-    o.event(now, &Event::Endpoints(EndpointUpdate::Changes(vec![line])));
-    let later = now + Span::from_ms(1100.0);
-    o.event(later, &Event::Request(Request::new(RequestId(2), ClassId(0), Span::from_ms(800.0))));
-    let timeout_at = later + Span::from_ms(1.0);
-    o.action(later, &Action::Send { request: RequestId(2), server: ServerId(0), timeout_at, write_by: None });
-    objects(&o, "draining or gone");
-
-    let (mut o, now) = watch(Effect::Idempotent);
-    let line = Endpoint { started_at: Some(now), ..Endpoint::serving(ServerId(0)) };
-    o.event(now, &Event::Endpoints(EndpointUpdate::Changes(vec![line])));
-    let later = now + settings_window();
-    for (id, now) in (2..13).map(|id| (id, if id == 2 { now } else { later })) {
-        o.event(now, &Event::Request(Request::new(RequestId(id), ClassId(0), Span::from_ms(800.0))));
-        let (request, server) = (RequestId(id), ServerId(0));
-        o.action(now, &Action::Send { request, server, timeout_at: now, write_by: None });
-    }
-    objects(&o, "cold");
-}
+    let (mut checker, now) = checker_with_request(Effect::Idempotent);
+    let draining = Endpoint { status: EndpointStatus::Draining, ..Endpoint::serving(ServerId(0)) };
+    checker.observe_event(now, &changed(draining));
+    let after_grace = now + Span::from_ms(1100.0);
+    checker.observe_event(after_grace, &request_event(RequestId(2)));
+    checker.check_action(after_grace, &send_request(RequestId(2), 0, after_grace + Span::from_ms(1.0)));
+    assert_violated(&checker, Rule::NoSendToDrainingServer);
 
-/// A whole window: the observer judges only once the fleet has been as it is for so long.
-fn settings_window() -> Span {
-    Settings::default().overload_window
+    let (mut checker, now) = checker_with_request(Effect::Idempotent);
+    let warming_up = Endpoint { started_at: Some(now), ..Endpoint::serving(ServerId(0)) };
+    checker.observe_event(now, &changed(warming_up));
+    // The checker judges only once the fleet has been as it is for a whole window.
+    let after_window = now + Settings::default().overload_window;
+    for number in 2..13 {
+        let sent_at = if number == 2 { now } else { after_window };
+        checker.observe_event(sent_at, &request_event(RequestId(number)));
+        checker.check_action(sent_at, &send_request(RequestId(number), 0, sent_at));
+    }
+    assert_violated(&checker, Rule::SlowStart);
 }
--- a/crates/balancer-core/tests/settings.rs
+++ b/crates/balancer-core/tests/settings.rs
@@ -1,63 +1,69 @@
-//! Guards against settings that lack what a decision could use, and against ones that no decision can use.
+//! Tests that impossible settings are errors and not panics, and that a class is all that settings need.
+
 mod common;
+
 use balancer_core::*;
 use common::*;
 
+fn error_after(change: fn(&mut Settings)) -> Option<SettingsError> {
+    let mut settings = Settings::default();
+    change(&mut settings);
+    Balancer::new(settings, 1).err()
+}
+
+fn is_bad_number(error: Option<SettingsError>) -> bool {
+    matches!(error, Some(SettingsError::BadNumber { .. }))
+}
+
 #[test]
 fn impossible_settings_return_errors() {
-    let with = |change: fn(&mut Settings)| {
-        let mut settings = Settings::default();
-        change(&mut settings);
-        Balancer::new(settings, 1).err()
-    };
-    assert_eq!(with(|s| s.classes.clear()), Some(SettingsError::NoClasses));
-    assert_eq!(with(|s| s.max_attempts = 0), Some(SettingsError::NoAttempts));
+    assert_eq!(error_after(|settings| settings.classes.clear()), Some(SettingsError::NoClasses));
+    assert_eq!(error_after(|settings| settings.max_attempts = 0), Some(SettingsError::NoAttempts));
     assert_eq!(
-        with(|s| s.classes[0].latency_objective = Span::ZERO),
+        error_after(|settings| settings.classes[0].latency_objective = Span::ZERO),
         Some(SettingsError::ZeroSpan { setting: "aim" })
     );
     assert_eq!(
-        with(|s| s.classes[0].deadline = Span::ZERO),
+        error_after(|settings| settings.classes[0].deadline = Span::ZERO),
         Some(SettingsError::ZeroSpan { setting: "deadline" })
     );
-    assert!(matches!(with(|s| s.initial_capacity = f64::NAN), Some(SettingsError::BadNumber { .. })));
-    assert!(matches!(with(|s| s.overload_factor = -1.0), Some(SettingsError::BadNumber { .. })));
-    assert!(matches!(
-        with(|s| s.classes[0].priority_weight = f64::INFINITY),
-        Some(SettingsError::BadNumber { .. })
-    ));
-    assert_eq!(with(|_| ()), None);
+    assert!(is_bad_number(error_after(|settings| settings.initial_capacity = f64::NAN)));
+    assert!(is_bad_number(error_after(|settings| settings.overload_factor = -1.0)));
+    assert!(is_bad_number(error_after(|settings| settings.classes[0].priority_weight = f64::INFINITY)));
+    assert_eq!(error_after(|_| ()), None);
 }
 
-/// No reports, keys, tenants, probes, cancels or advice, and no goal to speak of: requests are served all the
-/// same.
+/// No reports, keys, tenants, health checks, cancels or advice, and goal weights of zero: requests are served
+/// all the same.
 #[test]
 fn settings_with_only_a_class_suffice() {
     let settings = Settings {
-        classes: vec![class(Effect::Idempotent)],
         allows_cancel: false,
         goal: GoalWeights { overall: 0.0, worst_window: 0.0, worst_class: 0.0, worst_tenant: 0.0 },
         warm_up_time: Span::ZERO,
-        ..Settings::default()
+        ..idempotent_settings()
     };
-    let mut rig = Rig::new(settings, 1);
-    rig.list(fleet(3, 1, 1));
+    let mut harness = Harness::with_endpoints(settings, 1, fleet(3, 1, 1));
+
     for _ in 0..100 {
-        let (id, sent) = rig.ask(0);
-        assert!(sent.is_some());
-        rig.wait(Span::from_ms(10.0));
-        rig.answer_with(id, 0, Outcome::Success, 10.0, Some(vec![f64::NAN, -1.0, 1e300]));
+        let request = harness.send_request(0);
+        assert!(request.is_sent());
+        harness.advance_ms(10.0);
+        let report = Some(vec![f64::NAN, -1.0, 1e300]);
+        harness.end_attempt_with_report(request.id, 0, Response::success(10.0), report);
     }
-    rig.assert_rules();
+
+    harness.assert_no_violations();
 }
 
 #[test]
 fn request_of_unknown_class_is_rejected() {
-    let mut rig = Rig::new(Settings::default(), 1);
-    rig.list(fleet(3, 1, 1));
+    let mut harness = Harness::with_endpoints(Settings::default(), 1, fleet(3, 1, 1));
     let request = Request::new(RequestId(5), ClassId(9), Span::from_ms(100.0));
+
     let mut actions = Vec::new();
-    rig.balancer.handle(rig.now, Event::Request(request), &mut actions);
-    assert!(refused(&actions, RequestId(5)));
-    assert!(!actions.iter().any(|a| matches!(a, Action::Send { .. })));
+    harness.balancer.handle(harness.now, Event::Request(request), &mut actions);
+
+    assert!(is_rejected(&actions, RequestId(5)));
+    assert!(!actions.iter().any(is_send));
 }
--- a/crates/balancer-core/tests/slow_start.rs
+++ b/crates/balancer-core/tests/slow_start.rs
@@ -1,112 +1,159 @@
-//! Guards rule four: a server that has just started is sent its share only.
+//! Tests of slow start: a server that has just started is sent no more than its share.
+
 mod common;
+
 use balancer_core::*;
 use common::*;
 
+const RESPONSE_MS: f64 = 20.0;
+
 fn settings() -> Settings {
     Settings {
-        classes: vec![class(Effect::Idempotent)],
         initial_capacity: 0.2,
         warm_up_time: Span::from_ms(10_000.0),
         overload_factor: 2.5,
         overload_window: Span::from_ms(1500.0),
         balancer_count: 3,
-        ..Settings::default()
+        ..idempotent_settings()
     }
 }
 
-/// Sends at `per_s` for `ms`, each answered after 20 ms; how many went to `server`, of how many.
-fn load(rig: &mut Rig, per_s: f64, ms: f64, server: ServerId) -> (u32, u32) {
-    let (mut there, mut all) = (0, 0);
-    let mut out: Vec<(Time, RequestId, u32)> = Vec::new();
-    let end = rig.now + Span::from_ms(ms);
-    while rig.now < end {
-        let (id, sent) = rig.ask(0);
-        if let Some(sent) = sent {
-            all += 1;
-            there += u32::from(sent == server);
-            out.push((rig.now + Span::from_ms(20.0), id, 0));
-        }
-        rig.wait(Span::from_ms(1000.0 / per_s));
-        let now = rig.now;
-        let due: Vec<_> = out.iter().filter(|o| o.0 <= now).copied().collect();
-        out.retain(|o| o.0 > now);
-        for (_, id, attempt) in due {
-            rig.answer(id, attempt, Outcome::Success, 20.0);
+/// A fleet whose servers have all just started.
+fn warming_up_fleet(server_count: u32, started_at: Time) -> Vec<Endpoint> {
+    let warming_up = |endpoint| Endpoint { started_at: Some(started_at), ..endpoint };
+    fleet(server_count, 1, 1).into_iter().map(warming_up).collect()
+}
+
+/// Traffic at a steady rate.
+struct SteadyLoad {
+    requests_per_s: f64,
+    duration_ms: f64,
+    /// The server whose requests are counted.
+    counted_server: ServerId,
+}
+
+#[derive(Debug, Default)]
+struct SendCounts {
+    to_counted_server: u32,
+    total: u32,
+}
+
+struct InFlightRequest {
+    id: RequestId,
+    ends_at: Time,
+}
+
+impl SteadyLoad {
+    /// Sends the requests, each answered after `RESPONSE_MS`.
+    fn run(&self, harness: &mut Harness) -> SendCounts {
+        let mut counts = SendCounts::default();
+        let mut in_flight: Vec<InFlightRequest> = Vec::new();
+        let end = harness.now + Span::from_ms(self.duration_ms);
+        while harness.now < end {
+            let request = harness.send_request(0);
+            if let Some(server) = request.server {
+                counts.total += 1;
+                counts.to_counted_server += u32::from(server == self.counted_server);
+                let ends_at = harness.now + Span::from_ms(RESPONSE_MS);
+                in_flight.push(InFlightRequest { id: request.id, ends_at });
+            }
+            harness.advance_ms(1000.0 / self.requests_per_s);
+            let now = harness.now;
+            let (ended, remaining): (Vec<_>, Vec<_>) =
+                in_flight.into_iter().partition(|request| request.ends_at <= now);
+            in_flight = remaining;
+            succeed_all(harness, ended);
         }
+        succeed_all(harness, in_flight);
+        counts
     }
-    for (_, id, attempt) in out {
-        rig.answer(id, attempt, Outcome::Success, 20.0);
+}
+
+fn succeed_all(harness: &mut Harness, requests: Vec<InFlightRequest>) {
+    for request in requests {
+        harness.succeed(request.id, RESPONSE_MS);
     }
-    (there, all)
+}
+
+/// Load of 200 requests a second on the six servers, of which server 5 is counted.
+fn load_on_six_servers(duration_ms: f64) -> SteadyLoad {
+    SteadyLoad { requests_per_s: 200.0, duration_ms, counted_server: ServerId(5) }
 }
 
 #[test]
 fn warming_up_server_gets_its_share_of_a_warm_servers_load() {
-    let mut rig = Rig::new(settings(), 4);
-    let mut lines = fleet(6, 1, 1);
-    lines[5].started_at = Some(rig.now);
-    rig.list(lines);
-    let (cold, all) = load(&mut rig, 200.0, 1500.0, ServerId(5));
-    let warm = f64::from(all - cold) / 5.0;
-    assert!(f64::from(cold) <= 0.5 * warm, "cold {cold}, a warm one {warm}");
-    assert!(cold >= 1, "it is not shut out either");
-    load(&mut rig, 200.0, 8600.0, ServerId(5));
-    let (then, all) = load(&mut rig, 200.0, 1500.0, ServerId(5));
-    assert!(f64::from(then) > 0.5 * f64::from(all) / 6.0, "warm by then: {then} of {all}");
-    rig.assert_rules();
+    let mut harness = Harness::new(settings(), 4);
+    let mut endpoints = fleet(6, 1, 1);
+    endpoints[5].started_at = Some(harness.now);
+    harness.set_endpoints(endpoints);
+
+    let at_first = load_on_six_servers(1500.0).run(&mut harness);
+    load_on_six_servers(8600.0).run(&mut harness);
+    let once_warm = load_on_six_servers(1500.0).run(&mut harness);
+
+    let warming_up = at_first.to_counted_server;
+    let warm_average = f64::from(at_first.total - warming_up) / 5.0;
+    assert!(f64::from(warming_up) <= 0.5 * warm_average, "{warming_up}, a warm one {warm_average}");
+    assert!(warming_up >= 1, "it is not shut out either");
+    let average = f64::from(once_warm.total) / 6.0;
+    assert!(f64::from(once_warm.to_counted_server) > 0.5 * average, "warm by then: {once_warm:?}");
+    harness.assert_no_violations();
 }
 
 #[test]
 fn restart_during_slow_start_begins_it_again() {
-    let mut rig = Rig::new(settings(), 4);
-    let mut lines = fleet(6, 1, 1);
-    lines[5].started_at = Some(rig.now);
-    rig.list(lines.clone());
-    load(&mut rig, 200.0, 8000.0, ServerId(5));
-    lines[5].started_at = Some(rig.now);
-    rig.tell(Event::Endpoints(EndpointUpdate::Changes(vec![lines[5].clone()])));
-    let (cold, all) = load(&mut rig, 200.0, 1000.0, ServerId(5));
-    assert!(f64::from(cold) <= 0.5 * f64::from(all - cold) / 5.0, "{cold} of {all}");
-    rig.assert_rules();
+    let mut harness = Harness::new(settings(), 4);
+    let mut endpoints = fleet(6, 1, 1);
+    endpoints[5].started_at = Some(harness.now);
+    harness.set_endpoints(endpoints.clone());
+    load_on_six_servers(8000.0).run(&mut harness);
+
+    endpoints[5].started_at = Some(harness.now);
+    harness.handle(Event::Endpoints(EndpointUpdate::Changes(vec![endpoints[5].clone()])));
+    let counts = load_on_six_servers(1000.0).run(&mut harness);
+
+    let warm_average = f64::from(counts.total - counts.to_counted_server) / 5.0;
+    assert!(f64::from(counts.to_counted_server) <= 0.5 * warm_average, "{counts:?}");
+    harness.assert_no_violations();
 }
 
 #[test]
 fn fleet_or_lone_server_that_is_warming_up_still_serves() {
-    for n in [1, 4] {
-        let mut rig = Rig::new(settings(), 4);
-        let start = rig.now;
-        rig.list(fleet(n, 1, 1).into_iter().map(|l| Endpoint { started_at: Some(start), ..l }).collect());
-        let (_, all) = load(&mut rig, 20.0, 1000.0, ServerId(0));
-        assert!(all > 10, "{all} sent");
-        rig.assert_rules();
+    for server_count in [1, 4] {
+        let mut harness = Harness::new(settings(), 4);
+        harness.set_endpoints(warming_up_fleet(server_count, harness.now));
+
+        let load = SteadyLoad { requests_per_s: 20.0, duration_ms: 1000.0, counted_server: ServerId(0) };
+        let counts = load.run(&mut harness);
+
+        assert!(counts.total > 10, "{} sent", counts.total);
+        harness.assert_no_violations();
     }
 }
 
-/// With nothing answered, a cold fleet must not be flooded by the first seconds' arrivals.
+/// With nothing answered, a fleet that is warming up must not be flooded by the first seconds' arrivals.
 #[test]
 fn fleet_that_is_all_warming_up_is_paced_by_its_answers() {
-    let mut rig = Rig::new(settings(), 4);
-    let start = rig.now;
-    rig.list(fleet(4, 1, 1).into_iter().map(|l| Endpoint { started_at: Some(start), ..l }).collect());
-    let mut sent = 0;
-    for _ in 0..200 {
-        sent += u32::from(rig.ask(0).1.is_some());
-    }
-    assert!(sent <= 8, "{sent} sent at once to four servers at a fifth of their capacity");
+    let mut harness = Harness::new(settings(), 4);
+    harness.set_endpoints(warming_up_fleet(4, harness.now));
+
+    let sent_count = harness.send_burst(200).len();
+
+    assert!(sent_count <= 8, "{sent_count} sent at once to four servers at a fifth of their capacity");
 }
 
 /// The clock may start near zero; that is no restart.
 #[test]
 fn clock_near_zero_puts_no_server_in_slow_start() {
-    let settings = settings();
-    let mut balancer = Balancer::new(settings, 1).unwrap();
+    let mut balancer = Balancer::new(settings(), 1).expect("usable settings");
     let mut actions = Vec::new();
     balancer.start(Time(0), &mut actions);
     balancer.handle(Time(1), Event::Endpoints(EndpointUpdate::Complete(fleet(2, 1, 1))), &mut actions);
-    for i in 0..4 {
-        let request = Request::new(RequestId(i), ClassId(0), Span::from_ms(800.0));
+
+    for number in 0..4 {
+        let request = Request::new(RequestId(number), ClassId(0), Span::from_ms(800.0));
         balancer.handle(Time(2), Event::Request(request), &mut actions);
     }
-    assert_eq!(actions.iter().filter(|a| matches!(a, Action::Send { .. })).count(), 4);
+
+    assert_eq!(actions.iter().filter(|action| is_send(action)).count(), 4);
 }
