--- a/crates/balancer-core/src/balancer/tests.rs
+++ b/crates/balancer-core/src/balancer/tests.rs
@@ -1,58 +1,67 @@
-//! What a balancer keeps: nothing of servers that have left, and nothing that a later server would inherit.
+//! Tests of what a balancer keeps: nothing of servers that have left, and nothing that a later server would
+//! inherit.
 
 use super::*;
 use crate::{AttemptNumber, ClassId, Endpoint, EndpointStatus, MachineKindId, Request, RoutingKey, ZoneId};
 
+/// An endpoint in a zone and of a machine kind of its own.
 fn endpoint(id: u32, status: EndpointStatus) -> Endpoint {
     let (zone, machine_kind) = (ZoneId(id), MachineKindId(id));
     Endpoint { status, zone, machine_kind, ..Endpoint::serving(ServerId(id)) }
 }
 
-fn request(balancer: &mut Balancer, now: Time, id: u64) -> ServerId {
-    let mut out = Vec::new();
+/// Sends a request with a routing key of its own; the server that it is sent to.
+fn send_request(balancer: &mut Balancer, now: Time, id: u64) -> ServerId {
     let mut request = Request::new(RequestId(id), ClassId(0), Span::from_ms(900.0));
     request.routing_key = Some(RoutingKey(id));
-    balancer.handle(now, Event::Request(request), &mut out);
-    let sent =
-        out.iter().find_map(|a| if let Action::Send { server, .. } = a { Some(*server) } else { None });
-    sent.expect("it is sent")
+    let mut actions = Vec::new();
+    balancer.handle(now, Event::Request(request), &mut actions);
+    let target = actions.iter().find_map(|action| match action {
+        Action::Send { server, .. } => Some(*server),
+        _ => None,
+    });
+    target.expect("it is sent")
 }
 
-fn answer(balancer: &mut Balancer, now: Time, id: u64, closed: bool) {
-    let (request, attempt, elapsed) = (RequestId(id), AttemptNumber(0), Span::from_ms(20.0));
-    let outcome = Outcome::Success;
+fn succeed(balancer: &mut Balancer, now: Time, id: u64, is_request_finished: bool) {
     let event = Event::AttemptEnded {
-        request,
-        attempt,
-        outcome,
-        elapsed,
+        request: RequestId(id),
+        attempt: AttemptNumber(0),
+        outcome: Outcome::Success,
+        elapsed: Span::from_ms(20.0),
         load_report: None,
-        is_request_finished: closed,
+        is_request_finished,
     };
     balancer.handle(now, event, &mut Vec::new());
 }
 
-fn changes(balancer: &mut Balancer, now: Time, lines: Vec<Endpoint>) {
-    balancer.handle(now, Event::Endpoints(EndpointUpdate::Changes(lines)), &mut Vec::new());
+fn change_endpoints(balancer: &mut Balancer, now: Time, endpoints: Vec<Endpoint>) {
+    let event = Event::Endpoints(EndpointUpdate::Changes(endpoints));
+    balancer.handle(now, event, &mut Vec::new());
+}
+
+/// Server `id` takes the place of the one with the number before it.
+fn replace_server(balancer: &mut Balancer, now: Time, id: u32) {
+    let added = endpoint(id, EndpointStatus::Serving);
+    let removed = endpoint(id - 1, EndpointStatus::Removed);
+    change_endpoints(balancer, now, vec![added, removed]);
 }
 
-/// A fleet whose servers are replaced for good, under ever new ids, zones and kinds.
+/// A fleet whose servers are replaced for good, under ever new ids, zones and machine kinds.
 #[test]
-fn servers_that_have_left_leave_nothing_behind() {
+fn removed_servers_leave_no_records() {
     let settings = Settings { has_key_affinity: true, ..Settings::default() };
-    let mut balancer = Balancer::new(settings, 1).expect("settings");
+    let mut balancer = Balancer::new(settings, 1).expect("usable settings");
     let mut now = Time::from_ms(1000.0);
-    changes(&mut balancer, now, vec![endpoint(0, EndpointStatus::Serving)]);
+    change_endpoints(&mut balancer, now, vec![endpoint(0, EndpointStatus::Serving)]);
+
     for id in 1..5000 {
         now = now + Span::from_ms(1000.0);
-        changes(
-            &mut balancer,
-            now,
-            vec![endpoint(id, EndpointStatus::Serving), endpoint(id - 1, EndpointStatus::Removed)],
-        );
-        assert_eq!(request(&mut balancer, now, id.into()), ServerId(id));
-        answer(&mut balancer, now + Span::from_ms(20.0), id.into(), true);
+        replace_server(&mut balancer, now, id);
+        assert_eq!(send_request(&mut balancer, now, id.into()), ServerId(id));
+        succeed(&mut balancer, now + Span::from_ms(20.0), id.into(), true);
     }
+
     let mut sizes = balancer.registry.sizes().to_vec();
     sizes.extend([
         balancer.memory.key_count(),
@@ -66,23 +75,21 @@
 
 /// An attempt that outlives its server keeps its place; its late outcome is not another server's.
 #[test]
-fn a_late_outcome_is_not_counted_for_a_newcomer() {
-    let mut balancer = Balancer::new(Settings::default(), 1).expect("settings");
+fn late_outcome_is_not_counted_for_a_new_server() {
+    let mut balancer = Balancer::new(Settings::default(), 1).expect("usable settings");
     let mut now = Time::from_ms(1000.0);
-    changes(&mut balancer, now, vec![endpoint(0, EndpointStatus::Serving)]);
-    assert_eq!(request(&mut balancer, now, 7), ServerId(0));
-    changes(&mut balancer, now, vec![endpoint(0, EndpointStatus::Removed)]);
+    change_endpoints(&mut balancer, now, vec![endpoint(0, EndpointStatus::Serving)]);
+    assert_eq!(send_request(&mut balancer, now, 7), ServerId(0));
+    change_endpoints(&mut balancer, now, vec![endpoint(0, EndpointStatus::Removed)]);
     for id in 1..30 {
         now = now + Span::from_ms(5000.0);
-        changes(
-            &mut balancer,
-            now,
-            vec![endpoint(id, EndpointStatus::Serving), endpoint(id - 1, EndpointStatus::Removed)],
-        );
+        replace_server(&mut balancer, now, id);
     }
-    assert!(balancer.registry.find(ServerId(0)).is_some(), "an attempt is out there");
-    answer(&mut balancer, now, 7, false);
+    assert!(balancer.registry.find(ServerId(0)).is_some(), "an attempt is in flight");
+
+    succeed(&mut balancer, now, 7, false);
+
     assert!(balancer.registry.all_states().all(|server| server.in_flight == 0));
-    let newcomer = &balancer.registry[balancer.registry.find(ServerId(29)).expect("it is listed")];
-    assert_eq!((newcomer.latency.samples, newcomer.endpoint.server), (0, ServerId(29)));
+    let newest = &balancer.registry[balancer.registry.find(ServerId(29)).expect("it is listed")];
+    assert_eq!((newest.latency.samples, newest.endpoint.server), (0, ServerId(29)));
 }
--- a/crates/balancer-core/tests/draining.rs
+++ b/crates/balancer-core/tests/draining.rs
@@ -6,7 +6,7 @@
 use balancer_core::*;
 use common::*;
 
-/// Updates a list of two servers so that only the second one takes requests, and checks that it gets them all.
+/// Updates a list of two servers so that only the second takes requests, and checks that it gets them all.
 fn assert_first_server_gets_nothing_after(update: impl Fn(Vec<Endpoint>) -> EndpointUpdate) {
     let mut harness = Harness::with_endpoints(idempotent_settings(), 2, fleet(2, 1, 1));
 
