--- a/crates/balancer-core/src/policy/concurrency.rs
+++ b/crates/balancer-core/src/policy/concurrency.rs
@@ -72,3 +72,6 @@
         has_paused && f64::from(in_flight) + 1.0 <= (limit * capacity_share).max(1.0)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/balancer-core/src/policy/concurrency/tests.rs
@@ -0,0 +1,106 @@
+//! Tests of the bounds of a server's concurrency limit, and of when it allows one more request.
+
+use super::*;
+
+const NOW: Time = Time(1_000_000);
+const MIN_LIMIT: f64 = 0.05;
+const OBJECTIVE: Span = Span(100_000);
+
+/// Whether a server in good health has capacity beside `in_flight` requests.
+fn has_capacity_beside(limit: &ConcurrencyLimit, in_flight: u32) -> bool {
+    limit.has_capacity(NOW, in_flight, 1.0, 1.0)
+}
+
+fn record_quick_answers(limit: &mut ConcurrencyLimit, count: u32, in_flight: u32) {
+    for _ in 0..count {
+        limit.record(0.0, 0.0, in_flight, MIN_LIMIT);
+    }
+}
+
+fn record_late_answers(limit: &mut ConcurrencyLimit, count: u32, min_limit: f64) {
+    for _ in 0..count {
+        limit.record(1.0, 1.0, 0, min_limit);
+    }
+}
+
+#[test]
+fn server_that_has_not_answered_may_hold_two_requests() {
+    let limit = ConcurrencyLimit::new(NOW);
+
+    assert!(has_capacity_beside(&limit, 1));
+    assert!(!has_capacity_beside(&limit, 2));
+}
+
+/// In full use it takes about five million answers to reach the bound.
+#[test]
+fn limit_grows_to_a_thousand_requests_and_no_further() {
+    let mut limit = ConcurrencyLimit::new(NOW);
+
+    record_quick_answers(&mut limit, 5_500_000, 2000);
+
+    assert!(has_capacity_beside(&limit, 999));
+    assert!(!has_capacity_beside(&limit, 1000));
+}
+
+#[test]
+fn limit_falls_to_the_given_minimum_and_no_further() {
+    for min_limit in [0.05, 0.5] {
+        let mut limit = ConcurrencyLimit::new(NOW);
+
+        record_late_answers(&mut limit, 1000, min_limit);
+        limit.complete(NOW, OBJECTIVE);
+
+        // A limit below one is kept by a pause after each answer.
+        let pause_ms = OBJECTIVE.as_ms() * (1.0 / min_limit - 1.0);
+        let has_capacity_after = |ms| limit.has_capacity(NOW + Span::from_ms(ms), 0, 1.0, 1.0);
+        assert!(!has_capacity_after(pause_ms - 1.0), "minimum {min_limit}");
+        assert!(has_capacity_after(pause_ms + 1.0), "minimum {min_limit}");
+    }
+}
+
+#[test]
+fn limit_that_is_not_in_full_use_does_not_grow() {
+    let mut limit = ConcurrencyLimit::new(NOW);
+
+    record_quick_answers(&mut limit, 1000, 0);
+
+    assert!(!has_capacity_beside(&limit, 2));
+}
+
+#[test]
+fn slow_answers_shrink_the_limit() {
+    let mut limit = ConcurrencyLimit::new(NOW);
+    record_quick_answers(&mut limit, 1000, 2000);
+    assert!(has_capacity_beside(&limit, 10));
+
+    for _ in 0..100 {
+        limit.record(2.0 * TARGET_RATIO, 2.0 * TARGET_RATIO, 0, MIN_LIMIT);
+    }
+
+    assert!(!has_capacity_beside(&limit, 10));
+}
+
+#[test]
+fn admission_and_capacity_share_scale_the_limit_but_leave_one_request() {
+    let mut limit = ConcurrencyLimit::new(NOW);
+    record_quick_answers(&mut limit, 1000, 2000);
+
+    assert!(limit.has_capacity(NOW, 6, 0.5, 1.0));
+    assert!(!limit.has_capacity(NOW, 7, 0.5, 1.0));
+    assert!(limit.has_capacity(NOW, 6, 1.0, 0.5));
+    assert!(!limit.has_capacity(NOW, 7, 1.0, 0.5));
+    assert!(limit.has_capacity(NOW, 0, 1.0, 0.001));
+}
+
+#[test]
+fn full_server_is_left_alone_for_a_typical_latency() {
+    let mut limit = ConcurrencyLimit::new(NOW);
+
+    limit.back_off(NOW, OBJECTIVE, 0.5);
+
+    let backoff_end = NOW + Span::from_ms(50.0);
+    assert!(limit.is_backing_off(backoff_end - Span(1)));
+    assert!(!limit.has_capacity(backoff_end - Span(1), 0, 1.0, 1.0));
+    assert!(!limit.is_backing_off(backoff_end));
+    assert!(limit.has_capacity(backoff_end, 0, 1.0, 1.0));
+}
--- a/crates/balancer-core/src/state/budget.rs
+++ b/crates/balancer-core/src/state/budget.rs
@@ -26,3 +26,6 @@
         self.balance -= amount;
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/balancer-core/src/state/latency.rs
+++ b/crates/balancer-core/src/state/latency.rs
@@ -133,3 +133,6 @@
         self.machine_kinds.retain(|kind, _| known.contains(kind));
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/balancer-core/src/state/latency/tests.rs
@@ -0,0 +1,129 @@
+//! Tests of the latencies of servers, classes and kinds of machine.
+
+use super::*;
+use crate::{RequestClass, Span};
+
+const KIND: MachineKindId = MachineKindId(1);
+
+fn assert_close(value: f64, expected: f64) {
+    assert!((value - expected).abs() < 1e-9, "{value} instead of {expected}");
+}
+
+#[test]
+fn relative_slowness_has_a_floor_of_a_twentieth() {
+    let mut fleet = FleetLatency::new(1);
+    let mut server = ServerLatency::default();
+
+    for _ in 0..1000 {
+        fleet.record_success(0, 0.0, &mut server);
+        assert!(server.relative_slowness >= 0.05, "{}", server.relative_slowness);
+    }
+
+    assert_eq!(server.relative_slowness, 0.05);
+}
+
+#[test]
+fn relative_slowness_of_single_samples_is_at_most_eight() {
+    let mut server = ServerLatency::default();
+
+    for _ in 0..5000 {
+        // A fleet of its own for each sample, so that what is typical does not follow.
+        FleetLatency::new(1).record_success(0, 1e9, &mut server);
+        assert!(server.relative_slowness <= 8.0, "{}", server.relative_slowness);
+    }
+
+    assert_close(server.relative_slowness, 8.0);
+}
+
+#[test]
+fn success_moves_the_latency_of_its_class_only() {
+    let mut fleet = FleetLatency::new(2);
+
+    fleet.record_success(1, 0.7, &mut ServerLatency::default());
+
+    assert_eq!(fleet.classes[0].current_ratio, INITIAL_RATIO);
+    assert_close(fleet.classes[1].current_ratio, 0.2 + 0.12 * 0.5);
+    assert_close(fleet.classes[1].typical_ratio, 0.2 + 0.01 * 0.5);
+}
+
+#[test]
+fn first_sample_of_a_server_counts_in_full_and_later_ones_in_part() {
+    let mut fleet = FleetLatency::new(1);
+    let mut server = ServerLatency::default();
+
+    fleet.record_sample(KIND, 0.5, &mut server);
+    assert_eq!((server.ratio, server.samples), (0.5, 1));
+
+    fleet.record_sample(KIND, 1.0, &mut server);
+    assert_close(server.ratio, 0.5 + 0.12 * 0.5);
+    assert_eq!(server.samples, 2);
+}
+
+#[test]
+fn server_of_an_unknown_kind_is_expected_to_be_like_the_median() {
+    let mut fleet = FleetLatency::new(1);
+    fleet.refresh_median([0.3, 0.4, 0.9].into_iter());
+
+    assert_close(fleet.expected_ratio(KIND, &ServerLatency::default()), 0.4);
+}
+
+#[test]
+fn server_without_samples_is_expected_to_be_like_its_kind() {
+    let mut fleet = FleetLatency::new(1);
+    fleet.record_sample(KIND, 0.6, &mut ServerLatency::default());
+
+    // The median that the kind began with counts as one sample.
+    assert_close(fleet.expected_ratio(KIND, &ServerLatency::default()), 0.4);
+}
+
+#[test]
+fn own_samples_outweigh_the_kind_by_two_to_one_at_most() {
+    let fleet = FleetLatency::new(1);
+    let server = |samples| ServerLatency { ratio: 0.8, samples, relative_slowness: 1.0 };
+
+    assert_close(fleet.expected_ratio(KIND, &server(4)), 0.5 * 0.2 + 0.5 * 0.8);
+    assert_close(fleet.expected_ratio(KIND, &server(8)), (0.2 + 2.0 * 0.8) / 3.0);
+    assert_close(fleet.expected_ratio(KIND, &server(500)), (0.2 + 2.0 * 0.8) / 3.0);
+}
+
+#[test]
+fn expected_ratio_and_median_are_at_least_a_hundredth() {
+    let mut fleet = FleetLatency::new(1);
+
+    fleet.refresh_median([0.0].into_iter());
+
+    assert_eq!(fleet.median_ratio, 0.01);
+    let quick = ServerLatency { ratio: 0.0, samples: 100, relative_slowness: 1.0 };
+    assert_eq!(fleet.expected_ratio(KIND, &quick), 0.01);
+}
+
+#[test]
+fn median_stays_without_answers() {
+    let mut fleet = FleetLatency::new(1);
+    fleet.refresh_median([0.7].into_iter());
+
+    fleet.refresh_median(std::iter::empty());
+
+    assert_eq!(fleet.median_ratio, 0.7);
+}
+
+#[test]
+fn typical_latency_is_a_share_of_the_objective() {
+    let class = RequestClass { latency_objective: Span::from_ms(200.0), ..RequestClass::default() };
+    let settings = Settings { classes: vec![class], ..Settings::default() };
+
+    assert_close(FleetLatency::new(1).typical_latency_ms(&settings, 0), 40.0);
+}
+
+#[test]
+fn unknown_machine_kinds_are_forgotten() {
+    let mut fleet = FleetLatency::new(1);
+    fleet.record_sample(KIND, 0.6, &mut ServerLatency::default());
+    fleet.record_sample(MachineKindId(2), 0.6, &mut ServerLatency::default());
+    assert_eq!(fleet.machine_kind_count(), 2);
+
+    fleet.retain_machine_kinds(&BTreeSet::from([KIND]));
+
+    assert_eq!(fleet.machine_kind_count(), 1);
+    assert_close(fleet.expected_ratio(MachineKindId(2), &ServerLatency::default()), INITIAL_RATIO);
+}
--- a/crates/balancer-core/src/state/load_report.rs
+++ b/crates/balancer-core/src/state/load_report.rs
@@ -48,3 +48,6 @@
     /// The choice waits no longer than this.
     pub answer_by: Time,
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/balancer-core/src/state/load_report/tests.rs
@@ -0,0 +1,46 @@
+//! Tests of reported loads.
+
+use super::*;
+
+const NOW: Time = Time(1_000_000);
+const DECAY_MS: f64 = 100.0;
+const MEAN_LOAD: f64 = 2.0;
+
+#[test]
+fn load_without_a_report_is_taken_to_be_the_mean() {
+    let mut reported = ReportedLoad::default();
+    reported.record_send();
+
+    assert_eq!(reported.known(), 0.0);
+    assert_eq!(reported.expected(NOW, DECAY_MS, MEAN_LOAD), MEAN_LOAD);
+}
+
+#[test]
+fn sends_since_the_report_are_added_to_it() {
+    let mut reported = ReportedLoad::new(5.0, NOW);
+
+    reported.record_send();
+    reported.record_send();
+
+    assert_eq!(reported.known(), 7.0);
+    assert_eq!(reported.expected(NOW, DECAY_MS, MEAN_LOAD), 7.0);
+}
+
+#[test]
+fn report_loses_its_weight_with_time() {
+    let reported = ReportedLoad::new(5.0, NOW);
+
+    let expected = reported.expected(Time(1_100_000), DECAY_MS, MEAN_LOAD);
+
+    let weight = 1.0 / std::f64::consts::E;
+    assert!((expected - (MEAN_LOAD + weight * (5.0 - MEAN_LOAD))).abs() < 1e-9, "{expected}");
+}
+
+#[test]
+fn report_counts_since_its_own_time() {
+    assert!(!ReportedLoad::default().is_reported_since(Time(0)));
+
+    let reported = ReportedLoad::new(5.0, NOW);
+    assert!(reported.is_reported_since(NOW));
+    assert!(!reported.is_reported_since(Time(NOW.0 + 1)));
+}
--- a/crates/balancer-core/src/state/memory.rs
+++ b/crates/balancer-core/src/state/memory.rs
@@ -67,3 +67,6 @@
         self.servers.retain(|&server| keep(server));
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/balancer-core/src/state/registry.rs
+++ b/crates/balancer-core/src/state/registry.rs
@@ -170,3 +170,6 @@
         &mut self.servers[index.0]
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/balancer-core/src/state/smoothing.rs
+++ b/crates/balancer-core/src/state/smoothing.rs
@@ -46,3 +46,6 @@
     values.sort_by(f64::total_cmp);
     values.get(values.len() / 2).copied()
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/balancer-core/src/state/timeout.rs
+++ b/crates/balancer-core/src/state/timeout.rs
@@ -26,3 +26,6 @@
         is_usual
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/balancer-core/src/state/timeout/tests.rs
@@ -0,0 +1,45 @@
+//! Tests of the usual timeout of a class, by which first tries are known.
+
+use super::*;
+
+const TOLERANCE: Span = Span(1000);
+const USUAL: Span = Span(800_000);
+const NEW_HABIT: Span = Span(500_000);
+
+#[test]
+fn first_timeout_seen_is_the_usual_one() {
+    let mut usual_timeout = UsualTimeout::default();
+
+    assert!(usual_timeout.is_first_try(USUAL, TOLERANCE));
+    assert!(usual_timeout.is_first_try(USUAL, TOLERANCE));
+}
+
+#[test]
+fn timeouts_within_the_tolerance_are_usual() {
+    for (time_left, is_usual) in [
+        (Span(USUAL.0 + TOLERANCE.0), true),
+        (Span(USUAL.0 - TOLERANCE.0), true),
+        (Span(USUAL.0 + TOLERANCE.0 + 1), false),
+        (Span(USUAL.0 - TOLERANCE.0 - 1), false),
+    ] {
+        let mut usual_timeout = UsualTimeout::default();
+        usual_timeout.is_first_try(USUAL, TOLERANCE);
+
+        assert_eq!(usual_timeout.is_first_try(time_left, TOLERANCE), is_usual, "{time_left:?}");
+    }
+}
+
+#[test]
+fn new_habit_is_believed_after_fifty_votes_at_most() {
+    let mut usual_timeout = UsualTimeout::default();
+    for _ in 0..200 {
+        usual_timeout.is_first_try(USUAL, TOLERANCE);
+    }
+
+    for _ in 0..50 {
+        assert!(!usual_timeout.is_first_try(NEW_HABIT, TOLERANCE));
+    }
+
+    assert!(usual_timeout.is_first_try(NEW_HABIT, TOLERANCE));
+    assert!(!usual_timeout.is_first_try(USUAL, TOLERANCE));
+}
--- a/crates/balancer-core/src/state/traffic.rs
+++ b/crates/balancer-core/src/state/traffic.rs
@@ -30,3 +30,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/balancer-core/src/state/warm_up.rs
+++ b/crates/balancer-core/src/state/warm_up.rs
@@ -55,3 +55,6 @@
         self.warm_ratio / self.warming_up_ratio
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/balancer-core/src/state/zone_links.rs
+++ b/crates/balancer-core/src/state/zone_links.rs
@@ -50,3 +50,6 @@
         self.links.len()
     }
 }
+
+#[cfg(test)]
+mod tests;
