--- /dev/null
+++ b/crates/balancer-core/tests/sparse_view.rs
@@ -0,0 +1,133 @@
+//! Tests of routing in a sparse view, where balancers outnumber servers and own counts are nearly all zero:
+//! what the choice of a server goes by, and which connections are kept.
+
+mod common;
+
+use balancer_core::*;
+use common::*;
+use std::collections::BTreeSet;
+
+/// Servers of half the size were once sent as much as the others, and were overloaded first.
+#[test]
+fn load_follows_endpoint_weight() {
+    let settings = Settings { endpoint_weights: EndpointWeights::Size, ..sparse_settings() };
+    let mut endpoints = fleet(20, 1, 1);
+    endpoints[..10].iter_mut().for_each(|endpoint| endpoint.weight = 3.0);
+    let mut harness = Harness::with_endpoints(settings, 1, endpoints);
+
+    let attempts = serve_well(&mut harness, 20, 3000, 20.0);
+
+    let large: u32 = attempts[..10].iter().sum();
+    let small: u32 = attempts[10..].iter().sum();
+    let ratio = f64::from(large) / f64::from(small);
+    assert!((2.3..3.7).contains(&ratio), "large machines were sent {ratio:.2} times as much");
+}
+
+/// Machines of one listed size and different speed: the kind's answers tell them apart before single servers
+/// can.
+#[test]
+fn load_follows_the_latency_of_a_machine_kind() {
+    let mut endpoints = fleet(100, 1, 1);
+    for endpoint in &mut endpoints {
+        endpoint.machine_kind = MachineKindId(endpoint.server.0 % 2);
+    }
+    let mut harness = Harness::with_endpoints(sparse_settings(), 2, endpoints);
+
+    let mut requests_by_kind = [0, 0];
+    for _ in 0..600 {
+        let request = harness.send_request(0);
+        let kind = (request.server.expect("sent").0 % 2) as usize;
+        requests_by_kind[kind] += 1;
+        let elapsed_ms = [30.0, 90.0][kind];
+        harness.advance_ms(elapsed_ms);
+        harness.succeed(request.id, elapsed_ms);
+    }
+
+    let [fast, slow] = requests_by_kind;
+    assert!(fast > 2 * slow, "the kind that is three times as fast was sent {requests_by_kind:?}");
+    assert!(slow > 5, "the slow kind is not shut out: {requests_by_kind:?}");
+}
+
+/// Connections that were kept while requests were sent.
+#[derive(Default)]
+struct ConnectionUse {
+    reused_count: u32,
+    max_kept: usize,
+    used_servers: BTreeSet<ServerId>,
+}
+
+/// Sends one request after another and follows the connections that it keeps.
+fn follow_connections(harness: &mut Harness, request_count: u32) -> ConnectionUse {
+    let mut connections = ConnectionUse::default();
+    let mut kept = BTreeSet::new();
+    for _ in 0..request_count {
+        let request = harness.send_request(0);
+        let server = request.server.expect("sent");
+        connections.reused_count += u32::from(!kept.insert(server));
+        connections.used_servers.insert(server);
+        let mut actions = harness.actions.clone();
+        harness.advance_ms(20.0);
+        actions.extend_from_slice(harness.succeed(request.id, 20.0));
+        for action in actions {
+            if let Action::CloseIdle { server } = action {
+                kept.remove(&server);
+            }
+        }
+        assert!(kept.contains(&server), "a remembered server's connection is kept");
+        connections.max_kept = connections.max_kept.max(kept.len());
+    }
+    connections
+}
+
+/// Kept connections grew to balancers times servers, over the servers' limits.
+#[test]
+fn only_remembered_servers_keep_their_connections() {
+    let mut harness = Harness::with_endpoints(sparse_settings(), 3, fleet(20, 1, 1));
+
+    let connections = follow_connections(&mut harness, 200);
+
+    let max_kept = connections.max_kept;
+    assert!(max_kept <= 6, "what is remembered no longer keeps none: {max_kept} kept");
+}
+
+/// Nearly every request opened a connection, and the handshakes of all balancers overloaded the servers.
+#[test]
+fn costly_handshakes_make_most_requests_reuse_connections() {
+    let costs = Costs { handshake: 0.08, ..Settings::default().costs };
+    let settings = Settings { costs, ..sparse_settings() };
+    let mut harness = Harness::with_endpoints(settings, 7, fleet(100, 1, 1));
+
+    let connections = follow_connections(&mut harness, 500);
+
+    let reused_count = connections.reused_count;
+    assert!((300..450).contains(&reused_count), "{reused_count} of 500 met a kept connection");
+    let used_count = connections.used_servers.len();
+    assert!(used_count > 50, "the draws still range over the fleet: {used_count} of 100 servers used");
+}
+
+/// A server that a neighbour slows holds no more of the balancer's own requests than others do, so it stayed
+/// remembered and was sent more than its share. Where all are slow it stays, or every request would open a
+/// connection.
+#[test]
+fn relatively_slow_server_is_not_remembered() {
+    const SLOW_SERVER: ServerId = ServerId(3);
+    const SLOW_MS: f64 = 120.0;
+    for (others_ms, is_kept) in [(20.0, false), (120.0, true)] {
+        let mut harness = Harness::with_endpoints(sparse_settings(), 18, fleet(20, 1, 1));
+        serve_well(&mut harness, 20, 200, others_ms);
+        let mut answers_of_slow_server = 0;
+        while answers_of_slow_server < 5 {
+            let request = harness.send_request(0);
+            // Where all are slow most are rejected.
+            let Some(server) = request.server else { continue };
+            let elapsed_ms = if server == SLOW_SERVER { SLOW_MS } else { others_ms };
+            let mut actions = harness.advance_ms(elapsed_ms);
+            actions.extend_from_slice(harness.succeed(request.id, elapsed_ms));
+            if server == SLOW_SERVER {
+                answers_of_slow_server += 1;
+                let is_closed = actions.contains(&Action::CloseIdle { server });
+                assert_eq!(!is_closed, is_kept, "others take {others_ms} ms");
+            }
+        }
+    }
+}
