--- a/crates/balancer-core/tests/common/mod.rs
+++ b/crates/balancer-core/tests/common/mod.rs
@@ -1,6 +1,5 @@
 //! What the integration tests share: a harness around a balancer, a checker of its rules, and fixtures.
-//! Each test file uses only a part of it.
-#![allow(dead_code, unused_imports)]
+#![allow(dead_code, unused_imports, reason = "each test file uses only a part of it")]
 
 mod actions;
 mod fixtures;
--- a/crates/balancer-core/tests/common/rule_checker.rs
+++ b/crates/balancer-core/tests/common/rule_checker.rs
@@ -208,12 +208,15 @@
         match self.settings.classes[observed.class].effect {
             Effect::Idempotent => AllowedTargets::All,
             Effect::AtMostOnce => AllowedTargets::None,
-            Effect::Deduplicated { window, .. } if now.since(attempt.sent_at) > window => {
-                AllowedTargets::None
+            Effect::Deduplicated { scope, window } => {
+                let is_window_over = now.since(attempt.sent_at) > window;
+                match scope {
+                    _ if is_window_over => AllowedTargets::None,
+                    DedupScope::Fleet => AllowedTargets::All,
+                    DedupScope::Zone => AllowedTargets::Zone(attempt.zone),
+                    DedupScope::Cell => AllowedTargets::Cell(attempt.cell),
+                }
             }
-            Effect::Deduplicated { scope: DedupScope::Fleet, .. } => AllowedTargets::All,
-            Effect::Deduplicated { scope: DedupScope::Zone, .. } => AllowedTargets::Zone(attempt.zone),
-            Effect::Deduplicated { scope: DedupScope::Cell, .. } => AllowedTargets::Cell(attempt.cell),
         }
     }
 
--- a/crates/balancer-core/tests/random_events.rs
+++ b/crates/balancer-core/tests/random_events.rs
@@ -105,7 +105,7 @@
             40..=79 if !self.in_flight.is_empty() => self.end_attempt(),
             80..=83 if !self.in_flight.is_empty() => self.begin_stream(),
             84..=86 => {
-                let request = RequestId(u64::from(self.rng.u32(0..step + 1)));
+                let request = RequestId(u64::from(self.rng.u32(0..=step)));
                 self.harness.handle(Event::ClientDisconnected { request }).to_vec()
             }
             87..=90 => self.change_endpoint(),
--- a/crates/balancer-core/tests/retry_permissions.rs
+++ b/crates/balancer-core/tests/retry_permissions.rs
@@ -161,10 +161,16 @@
     harness.assert_no_violations();
 }
 
-/// The time by which the first of these sends must be written, if it has one; none without a send.
-fn write_by_of_first_send(actions: &[Action]) -> Option<Option<Time>> {
+/// When a send must be written.
+#[derive(Debug, PartialEq)]
+struct SendLimit {
+    write_by: Option<Time>,
+}
+
+/// The limit of the first of these sends.
+fn first_send(actions: &[Action]) -> Option<SendLimit> {
     actions.iter().find_map(|action| match action {
-        Action::Send { write_by, .. } => Some(*write_by),
+        Action::Send { write_by, .. } => Some(SendLimit { write_by: *write_by }),
         _ => None,
     })
 }
@@ -186,15 +192,15 @@
         harness.advance_ms(20.0);
         harness.end_attempt(request.id, 0, Outcome::ConnectFailed, 20.0);
         let second_sent_at = harness.now;
-        let write_by = write_by_of_first_send(&harness.actions);
-        assert_eq!(write_by, Some(None), "no deduplication: the first attempt never ran");
+        let unlimited = Some(SendLimit { write_by: None });
+        assert_eq!(first_send(&harness.actions), unlimited, "the first attempt never ran");
 
         harness.advance_ms(elapsed_ms);
         harness.end_attempt(request.id, 1, Outcome::ConnectionReset, elapsed_ms);
 
         let window_end = second_sent_at + Span::from_ms(400.0);
-        let expected = is_retried.then_some(Some(window_end));
-        assert_eq!(write_by_of_first_send(&harness.actions), expected, "after {elapsed_ms} ms");
+        let expected = is_retried.then_some(SendLimit { write_by: Some(window_end) });
+        assert_eq!(first_send(&harness.actions), expected, "after {elapsed_ms} ms");
         harness.assert_no_violations();
     }
 }
--- a/crates/simulator-adapter/src/tests/replies.rs
+++ b/crates/simulator-adapter/src/tests/replies.rs
@@ -26,7 +26,7 @@
     let (end, replies) = play(&(first + &second));
 
     assert_eq!(end, Ok(()));
-    let expected = json!({"ticket": "r-1", "backend": "backend_a", "untilMs": 358836336.682});
+    let expected = json!({"ticket": "r-1", "backend": "backend_a", "untilMs": 358_836_336.682});
     assert_eq!(actions(&replies[0], "ROUTE"), [&expected]);
     assert_eq!(
         actions(&replies[1], "ROUTE"),
