--- a/crates/balancer-core/src/lib.rs
+++ b/crates/balancer-core/src/lib.rs
@@ -11,17 +11,20 @@
 //!     latency_objective: Span::from_ms(100.0),
 //!     deadline: Span::from_ms(400.0),
 //!     ..RequestClass::default()
-//! }; let settings = Settings { classes: vec![class], ..Settings::default() }; let mut balancer =
-//! Balancer::new(settings, 7).expect("usable settings"); let mut actions = Vec::new();
+//! };
+//! let settings = Settings { classes: vec![class], ..Settings::default() };
+//! let mut balancer = Balancer::new(settings, 7).expect("usable settings");
+//! let mut actions = Vec::new();
 //!
-//! // The caller learns which servers there are ... let now = Time::from_ms(1000.0); let endpoints =
-//! vec![Endpoint::serving(ServerId(0)), Endpoint::serving(ServerId(1))]; balancer.handle(now,
-//! Event::Endpoints(EndpointUpdate::Complete(endpoints)), &mut actions);
+//! // The caller learns which servers there are,
+//! let now = Time::from_ms(1000.0);
+//! let endpoints = vec![Endpoint::serving(ServerId(0)), Endpoint::serving(ServerId(1))];
+//! balancer.handle(now, Event::Endpoints(EndpointUpdate::Complete(endpoints)), &mut actions);
 //!
-//! // ... and passes on a request: the balancer says where to send it. let request =
-//! Request::new(RequestId(1), ClassId(0), Span::from_ms(400.0)); balancer.handle(now,
-//! Event::Request(request), &mut actions); assert!(actions.iter().any(|action| matches!(action, Action::Send
-//! { request: RequestId(1), .. })));
+//! // and hands over a request: the balancer says where to send it.
+//! let request = Request::new(RequestId(1), ClassId(0), Span::from_ms(400.0));
+//! balancer.handle(now, Event::Request(request), &mut actions);
+//! assert!(actions.iter().any(|action| matches!(action, Action::Send { request: RequestId(1), .. })));
 //! ```
 
 mod balancer;
