Imports go one way in every crate

Types that others build on no longer stand beside rules that need the balancer: the probing of ejected servers, the admission probability, the shedding order and open load polls have files of their own, and the adapter's names too.

--- a/crates/balancer-core/src/balancer.rs
+++ b/crates/balancer-core/src/balancer.rs
@@ -1,13 +1,11 @@
 //! The balancer: takes events in, keeps the order of the steps, and hands actions out. Each step and the
 //! state that it rests on live in a module of their own.
 
-use crate::policy::{
-    AdmissionControl, ShedOrder, WatchRetry, MAX_GOSSIP_BYTES, MAX_RETRY_BUDGET, POLL_TIMER,
-};
+use crate::policy::{AdmissionControl, WatchRetry};
 use crate::state::{
     ActiveRequest, AttemptKey, Budget, EjectionReason, EndedAttempt, FleetLatency, FleetView,
-    InFlightAttempt, LoadPoll, ServerIndex, ServerMemory, ServerRegistry, Traffic, UsualTimeout, WarmUp,
-    ZoneLinks,
+    InFlightAttempt, LoadPoll, ServerIndex, ServerMemory, ServerRegistry, ShedOrder, Traffic, UsualTimeout,
+    WarmUp, ZoneLinks,
 };
 use crate::{
     Action, DiscoveryMode, EndpointUpdate, Event, Outcome, RequestId, ServerId, Settings, SettingsError,
@@ -19,6 +17,8 @@
 const BUSY_TICK: Span = Span(10_000);
 const IDLE_TICK: Span = Span(50_000);
 const TICK_TIMER: TimerId = TimerId(0);
+/// The timer that ends the wait for polled loads.
+pub(crate) const POLL_TIMER: TimerId = TimerId(1);
 
 /// The decisions of one client process about where, when and how often its requests are sent.
 pub struct Balancer {
@@ -78,8 +78,8 @@
             admission: AdmissionControl::new(),
             class_order: vec![ShedOrder::First; class_count],
             usual_timeouts: vec![UsualTimeout::default(); class_count],
-            retry_budget: Budget::new(MAX_RETRY_BUDGET),
-            gossip_budget: Budget::new(MAX_GOSSIP_BYTES),
+            retry_budget: Balancer::full_retry_budget(),
+            gossip_budget: Balancer::full_gossip_budget(),
             zone_links: ZoneLinks::default(),
             watch_retry: WatchRetry::new(),
             next_tick: Time(0),
--- a/crates/balancer-core/src/policy.rs
+++ b/crates/balancer-core/src/policy.rs
@@ -5,6 +5,7 @@
 mod admission;
 mod concurrency;
 mod deadline;
+mod ejection;
 mod feedback;
 mod lifecycle;
 mod load_polling;
@@ -21,9 +22,5 @@
 
 pub use admission::AdmissionControl;
 pub use concurrency::ConcurrencyLimit;
-pub use load_polling::POLL_TIMER;
-pub use outlier::Ejection;
-pub use retry::MAX_RETRY_BUDGET;
-pub use shedding::ShedOrder;
-pub use suspicion::MAX_GOSSIP_BYTES;
+pub use ejection::Ejection;
 pub use watch::WatchRetry;
--- a/crates/balancer-core/src/policy/admission.rs
+++ b/crates/balancer-core/src/policy/admission.rs
@@ -5,9 +5,7 @@
 //! minute. In a sparse view limits per server bind nothing, and the probability itself decides.
 
 use super::concurrency::TARGET_RATIO;
-use super::ShedOrder;
-use crate::state::FleetView;
-use crate::Balancer;
+use crate::state::{FleetView, ShedOrder};
 
 /// An answer is slow from this latency ratio on: by then a server holds several requests for each core, and
 /// one that does so for long turns slow for longer. Late answers alone would be noticed too late.
@@ -36,6 +34,17 @@
         AdmissionControl { probability: 1.0, fleet_capacity: 0.0 }
     }
 
+    /// Moves the probability by one answer, with `in_flight` attempts still out.
+    pub fn record(&mut self, ratio: f64, in_flight: usize, view: FleetView, balancer_count: u32) {
+        let (round, min_probability) = match view {
+            FleetView::Sparse => (MIN_ROUND.max(in_flight + 1), MIN_PROBABILITY),
+            FleetView::Dense => (in_flight + 1, 1.0 / f64::from(balancer_count.max(1))),
+        };
+        let is_slow = ratio >= SLOW_RATIO;
+        let step = if is_slow { -CUT * self.probability } else { GAIN * self.probability.sqrt() };
+        self.probability = (self.probability + step / round as f64).clamp(min_probability, 1.0);
+    }
+
     /// Takes in the capacity of the serving fleet, in warm servers. In a sparse view the probability goes
     /// with it: the endpoint list shows a fleet that shrinks before any server is slow, and servers that are
     /// slow stay slow; a fleet that warms up can handle more. An empty list says nothing about the next one.
@@ -51,7 +60,7 @@
     }
 
     /// The probability for requests of this rank: classes that are shed first get less, the others the rest.
-    fn probability_for(&self, order: ShedOrder, shed_first_share: f64) -> f64 {
+    pub fn probability_for(&self, order: ShedOrder, shed_first_share: f64) -> f64 {
         let floor = MIN_CLASS_PART * self.probability;
         let first = floor.max((self.probability - (1.0 - shed_first_share)) / shed_first_share);
         match order {
@@ -61,24 +70,3 @@
         }
     }
 }
-
-impl Balancer {
-    /// Whether a request of this rank is admitted.
-    pub(crate) fn admits(&mut self, order: ShedOrder) -> bool {
-        let shed_first_share = self.shed_first_share();
-        !self.is_sparse() || self.rng.f64() < self.admission.probability_for(order, shed_first_share)
-    }
-
-    /// Moves the admission probability by one answer.
-    pub(crate) fn adapt_admission(&mut self, ratio: f64) {
-        let answers = self.in_flight.len() + 1;
-        let (round, min_probability) = match self.registry.view {
-            FleetView::Sparse => (MIN_ROUND.max(answers), MIN_PROBABILITY),
-            FleetView::Dense => (answers, 1.0 / f64::from(self.settings.balancer_count.max(1))),
-        };
-        let probability = self.admission.probability;
-        let is_slow = ratio >= SLOW_RATIO;
-        let step = if is_slow { -CUT * probability } else { GAIN * probability.sqrt() };
-        self.admission.probability = (probability + step / round as f64).clamp(min_probability, 1.0);
-    }
-}
--- a/crates/balancer-core/src/policy/concurrency.rs
+++ b/crates/balancer-core/src/policy/concurrency.rs
@@ -4,6 +4,8 @@
 
 /// The latency ratio that servers are held to: over it a server's limit shrinks, under it it grows.
 pub const TARGET_RATIO: f64 = 0.25;
+/// Answers are late from this ratio on, and count as no more: one costly request must not count like ten.
+pub const LATE_RATIO: f64 = 1.0;
 /// Limit of a server that has not answered yet, and the highest limit of all.
 const INITIAL_LIMIT: f64 = 2.0;
 const MAX_LIMIT: f64 = 1000.0;
@@ -36,7 +38,7 @@
     /// full queue is certain evidence and counts at once.
     pub fn record(&mut self, ratio: f64, smoothed_ratio: f64, in_flight: u32, min_limit: f64) {
         let overshoot = (smoothed_ratio / TARGET_RATIO - 1.0).min(MAX_OVERSHOOT);
-        let is_late = ratio >= 1.0;
+        let is_late = ratio >= LATE_RATIO;
         let factor = if is_late { LATE_CUT } else { 1.0 - SHRINK * overshoot.max(0.0) };
         self.limit = (self.limit * factor).max(min_limit);
         let is_in_full_use = f64::from(in_flight) + 1.0 >= self.limit.floor();
--- a/crates/balancer-core/src/policy/feedback.rs
+++ b/crates/balancer-core/src/policy/feedback.rs
@@ -1,13 +1,11 @@
 //! What is learned when an attempt ends.
 
 use super::admission::SLOW_RATIO;
-use super::concurrency::TARGET_RATIO;
+use super::concurrency::{LATE_RATIO, TARGET_RATIO};
 use super::outlier::OUTLIER_FACTOR;
 use crate::state::{EndedAttempt, InFlightAttempt, WarmUp};
 use crate::{Balancer, Outcome};
 
-/// A sample counts as this latency ratio at most: one costly request must not count like ten late ones.
-pub const LATE_RATIO: f64 = 1.0;
 /// The latency ratio of an attempt that does not show load.
 const NO_LOAD: f64 = 0.0;
 
@@ -16,7 +14,7 @@
     pub(crate) fn learn(&mut self, attempt: &InFlightAttempt, ended: &EndedAttempt) {
         let ratio = self.latency_ratio(attempt, ended);
         if ratio > NO_LOAD && !attempt.is_counted_slow {
-            self.adapt_admission(ratio);
+            self.record_admission(ratio);
         }
         self.learn_outcome(attempt, ended.outcome, ratio);
         if ratio > NO_LOAD {
@@ -33,6 +31,12 @@
         self.eject_outlier(attempt.server, ended.outcome, ratio);
     }
 
+    /// Moves the admission probability by one answer.
+    pub(crate) fn record_admission(&mut self, ratio: f64) {
+        let (view, balancer_count) = (self.registry.view, self.settings.balancer_count);
+        self.admission.record(ratio, self.in_flight.len(), view, balancer_count);
+    }
+
     /// The latency as a share of the class's objective. An attempt that hangs while others are answered in
     /// time shows no load: its connection is lost. A cancelled one may still be queued at the server.
     fn latency_ratio(&self, attempt: &InFlightAttempt, ended: &EndedAttempt) -> f64 {
--- a/crates/balancer-core/src/policy/lifecycle.rs
+++ b/crates/balancer-core/src/policy/lifecycle.rs
@@ -1,8 +1,7 @@
 //! The life of a request: accepted, sent or queued, retried, and given its one final answer.
 
 use super::retry::{AttemptPermission, RetryScope};
-use super::ShedOrder;
-use crate::state::{ActiveRequest, AttemptState, EndedAttempt};
+use crate::state::{ActiveRequest, AttemptState, EndedAttempt, ShedOrder};
 use crate::{Action, Balancer, Outcome, Request, RequestId};
 
 impl Balancer {
--- a/crates/balancer-core/src/policy/load_polling.rs
+++ b/crates/balancer-core/src/policy/load_polling.rs
@@ -1,11 +1,10 @@
 //! Load reports, and polling candidates for their load before one is chosen.
 
 use super::routing::MAX_CANDIDATES;
+use crate::balancer::POLL_TIMER;
 use crate::state::{update_recent_average, LoadPoll, ReportedLoad, ServerIndex};
-use crate::{Action, Balancer, LoadReport, LoadReportField, LoadReportSource, RequestId, TimerId};
+use crate::{Action, Balancer, LoadReport, LoadReportField, LoadReportSource, RequestId};
 
-/// The timer that ends the wait for polled loads.
-pub const POLL_TIMER: TimerId = TimerId(1);
 /// Candidates are polled where that costs a request this much at most, for this share of its objective.
 const MAX_POLL_COST: f64 = 0.01;
 const POLL_TIME_SHARE: f64 = 0.05;
--- a/crates/balancer-core/src/policy/outlier.rs
+++ b/crates/balancer-core/src/policy/outlier.rs
@@ -1,9 +1,9 @@
 //! Outlier detection: failing or slow servers are ejected, and probed by single requests until they recover.
 
-use super::concurrency::TARGET_RATIO;
-use super::feedback::LATE_RATIO;
+use super::concurrency::{LATE_RATIO, TARGET_RATIO};
+use super::Ejection;
 use crate::state::{EjectionReason, ServerIndex, ServerLatency};
-use crate::{Action, Balancer, Outcome, Span, Time};
+use crate::{Action, Balancer, Outcome};
 
 /// A server is slow at this multiple of the fleet's median latency; under it, counts alone shift the load.
 pub const OUTLIER_FACTOR: f64 = 3.0;
@@ -15,42 +15,6 @@
 const MAX_FAILURES: u32 = 3;
 /// At most this share of the serving fleet is ejected; beyond that the cause is not the servers.
 const MAX_EJECTED_SHARE: f64 = 0.75;
-/// First and longest interval between two probes of an ejected server, and its growth with each failed one.
-const MIN_PROBE_INTERVAL: Span = Span(250_000);
-const MAX_PROBE_INTERVAL: Span = Span(4_000_000);
-const PROBE_BACKOFF: f64 = 2.0;
-/// Any request may probe a server that no idempotent one has probed for this many further intervals.
-const UNSAFE_PROBE_INTERVALS: f64 = 2.0;
-
-/// The state of an ejected server.
-pub struct Ejection {
-    next_probe: Time,
-    interval: Span,
-    is_probing: bool,
-}
-
-impl Ejection {
-    fn new(now: Time) -> Self {
-        Ejection { next_probe: now + MIN_PROBE_INTERVAL, interval: MIN_PROBE_INTERVAL, is_probing: false }
-    }
-
-    /// Whether a request may probe the server now. Idempotent ones go first, but a service without an
-    /// idempotent class must take its servers back too.
-    pub fn is_probe_due(&self, now: Time, is_idempotent: bool) -> bool {
-        let wait = if is_idempotent { Span::ZERO } else { self.interval * UNSAFE_PROBE_INTERVALS };
-        !self.is_probing && now >= self.next_probe + wait
-    }
-
-    /// A probe is on its way.
-    pub fn start_probe(&mut self) {
-        self.is_probing = true;
-    }
-
-    fn fail_probe(&mut self, now: Time) {
-        let interval = (self.interval * PROBE_BACKOFF).min(MAX_PROBE_INTERVAL);
-        *self = Ejection { next_probe: now + interval, interval, is_probing: false };
-    }
-}
 
 impl Balancer {
     /// Judges a probe: a good answer ends the ejection, any other lengthens the interval.
--- a/crates/balancer-core/src/policy/overdue.rs
+++ b/crates/balancer-core/src/policy/overdue.rs
@@ -1,8 +1,7 @@
 //! Overdue attempts: finding silent servers, and retrying elsewhere what can still be in time.
 
 use super::admission::SLOW_RATIO;
-use super::concurrency::TARGET_RATIO;
-use super::feedback::LATE_RATIO;
+use super::concurrency::{LATE_RATIO, TARGET_RATIO};
 use crate::state::{AttemptKey, EjectionReason, InFlightAttempt, ServerIndex};
 use crate::{Action, Balancer, Effect};
 
@@ -65,7 +64,7 @@
             slow_attempts += u32::from(attempt.is_counted_slow);
         }
         for _ in 0..slow_attempts {
-            self.adapt_admission(LATE_RATIO);
+            self.record_admission(LATE_RATIO);
         }
     }
 
--- a/crates/balancer-core/src/policy/retry.rs
+++ b/crates/balancer-core/src/policy/retry.rs
@@ -1,12 +1,12 @@
 //! Retries: what the rules permit for a request, and the budget that retries are paid from.
 
-use crate::state::{ActiveRequest, AttemptState};
+use crate::state::{ActiveRequest, AttemptState, Budget};
 use crate::{Balancer, CellId, DedupScope, Effect, Settings, Time, ZoneId};
 
 /// Each request earns this much of a retry, saved up to the burst.
 const RETRY_PRICE: f64 = 1.0;
 const BUDGET_RATIO: f64 = 0.1;
-pub const MAX_RETRY_BUDGET: f64 = 10.0;
+const MAX_BUDGET: f64 = 10.0;
 /// In a sparse view the burst is one: many balancers would all spend more in the same overload.
 const MAX_SPARSE_BUDGET: f64 = 1.0;
 
@@ -59,9 +59,14 @@
 }
 
 impl Balancer {
+    /// A full budget of retries of requests that may have run.
+    pub(crate) fn full_retry_budget() -> Budget {
+        Budget::new(MAX_BUDGET)
+    }
+
     /// Earns the part of a retry that one request is worth.
     pub(crate) fn earn_retry(&mut self) {
-        let burst = if self.is_sparse() { MAX_SPARSE_BUDGET } else { MAX_RETRY_BUDGET };
+        let burst = if self.is_sparse() { MAX_SPARSE_BUDGET } else { MAX_BUDGET };
         self.retry_budget.earn(BUDGET_RATIO, burst);
     }
 
--- a/crates/balancer-core/src/policy/shedding.rs
+++ b/crates/balancer-core/src/policy/shedding.rs
@@ -1,17 +1,11 @@
 //! Load shedding: which classes and tenants are rejected first when not everything can be served.
 
+use crate::state::ShedOrder;
 use crate::{Balancer, Request, ValueBasis};
 
 /// A tenant is over its share at this multiple of it; usage fluctuates without any abuse.
 const SHARE_SLACK: f64 = 1.4;
 
-/// Whether a request is shed before others or after them.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum ShedOrder {
-    Last,
-    First,
-}
-
 impl Balancer {
     /// Whether a request is beyond its tenant's share. If a tenant takes more than its share of this
     /// balancer's traffic, the excess is. No balancer sees all traffic; its own is the sample that it has.
@@ -24,8 +18,14 @@
         self.settings.over_share_value < 1.0 && self.rng.f64() * own_traffic > fair_traffic.max(1.0)
     }
 
+    /// Whether a request of this rank is admitted.
+    pub(crate) fn admits(&mut self, order: ShedOrder) -> bool {
+        let shed_first_share = self.shed_first_share();
+        !self.is_sparse() || self.rng.f64() < self.admission.probability_for(order, shed_first_share)
+    }
+
     /// The share of the traffic whose class is shed first.
-    pub(crate) fn shed_first_share(&self) -> f64 {
+    fn shed_first_share(&self) -> f64 {
         let classes = self.traffic.by_class.iter().zip(&self.class_order);
         let first = classes.map(|(count, order)| if *order == ShedOrder::First { *count } else { 0.0 });
         first.sum::<f64>() / self.traffic.by_class.iter().sum::<f64>()
--- a/crates/balancer-core/src/policy/suspicion.rs
+++ b/crates/balancer-core/src/policy/suspicion.rs
@@ -3,7 +3,7 @@
 //! suspected server a small part of its share for a while, and gossips to some peers, because each of them
 //! would otherwise lose a request of its own to find out.
 
-use crate::state::ServerIndex;
+use crate::state::{Budget, ServerIndex};
 use crate::{Action, Balancer, PeerId, ServerId, Span, ZoneId};
 
 /// The part of its share that a suspected server is still sent.
@@ -19,9 +19,14 @@
 const MAX_GOSSIP_PEERS: u32 = 64;
 /// Bytes of gossip that each request earns, and the most that can be saved up.
 const GOSSIP_BYTES_PER_REQUEST: f64 = 25.0;
-pub const MAX_GOSSIP_BYTES: f64 = 512.0;
+const MAX_GOSSIP_BYTES: f64 = 512.0;
 
 impl Balancer {
+    /// A full budget of bytes that may be gossiped.
+    pub(crate) fn full_gossip_budget() -> Budget {
+        Budget::new(MAX_GOSSIP_BYTES)
+    }
+
     /// Earns the bytes of gossip that one request is worth.
     pub(crate) fn earn_gossip(&mut self) {
         self.gossip_budget.earn(GOSSIP_BYTES_PER_REQUEST, MAX_GOSSIP_BYTES);
--- a/crates/balancer-core/src/state.rs
+++ b/crates/balancer-core/src/state.rs
@@ -3,6 +3,7 @@
 
 mod budget;
 mod latency;
+mod load_poll;
 mod load_report;
 mod memory;
 mod registry;
@@ -16,13 +17,14 @@
 
 pub use budget::Budget;
 pub use latency::{FleetLatency, ServerLatency};
-pub use load_report::{LoadPoll, ReportedLoad};
+pub use load_poll::LoadPoll;
+pub use load_report::ReportedLoad;
 pub use memory::ServerMemory;
 pub use registry::{FleetView, ServerIndex, ServerRegistry};
 pub use request::{ActiveRequest, Attempt, AttemptKey, AttemptState, EndedAttempt, InFlightAttempt};
 pub use server::{EjectionReason, ServerState};
 pub use smoothing::update_recent_average;
 pub use timeout::UsualTimeout;
-pub use traffic::Traffic;
+pub use traffic::{ShedOrder, Traffic};
 pub use warm_up::WarmUp;
 pub use zone_links::ZoneLinks;
--- a/crates/balancer-core/src/state/load_report.rs
+++ b/crates/balancer-core/src/state/load_report.rs
@@ -1,7 +1,6 @@
-//! What load reports say of servers, and the polls for them that are open.
+//! What load reports say of servers.
 
-use super::registry::ServerIndex;
-use crate::{RequestId, Time};
+use crate::Time;
 
 /// The load of a server by its last report, and own sends since.
 #[derive(Default)]
@@ -40,14 +39,5 @@
     }
 }
 
-/// A request whose candidates are being polled for their load.
-pub struct LoadPoll {
-    pub request: RequestId,
-    pub candidates: Vec<ServerIndex>,
-    pub started_at: Time,
-    /// The choice waits no longer than this.
-    pub answer_by: Time,
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/balancer-core/src/state/traffic.rs
+++ b/crates/balancer-core/src/state/traffic.rs
@@ -5,6 +5,13 @@
 /// Traffic is counted over about this many milliseconds.
 const WINDOW_MS: f64 = 3000.0;
 
+/// Whether a request is shed before others or after them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ShedOrder {
+    Last,
+    First,
+}
+
 /// Exponentially decayed counts of requests.
 pub struct Traffic {
     pub by_class: Vec<f64>,
--- a/crates/simulator-adapter/src/decode.rs
+++ b/crates/simulator-adapter/src/decode.rs
@@ -2,7 +2,7 @@
 
 use crate::endpoint_lists::EndpointLists;
 use crate::error::EventError;
-use crate::instance::InstanceNames;
+use crate::instance_names::InstanceNames;
 use crate::wire::{
     WireAttemptEnded, WireEndpointUpdate, WireEvent, WireGossip, WireHealthChecked, WireOutcome, WireRequest,
     WireUpdateForm, FLAG_CLIENT_RETRY, FLAG_VALID_COST_HINT,
--- a/crates/simulator-adapter/src/decode/tests.rs
+++ b/crates/simulator-adapter/src/decode/tests.rs
@@ -2,7 +2,7 @@
 
 use super::decode;
 use crate::endpoint_lists::EndpointLists;
-use crate::instance::InstanceNames;
+use crate::instance_names::InstanceNames;
 use balancer_core::{ClassId, Event, Outcome, PeerId, Request, RequestId, RoutingKey, Span, TenantId};
 use balancer_settings::hash_name;
 use std::rc::Rc;
--- a/crates/simulator-adapter/src/encode.rs
+++ b/crates/simulator-adapter/src/encode.rs
@@ -1,7 +1,7 @@
 //! Encoding: an action of the balancer becomes one of the wire.
 
 use crate::error::ActionError;
-use crate::instance::InstanceNames;
+use crate::instance_names::InstanceNames;
 use crate::wire::{WireAction, ALL_PEERS};
 use balancer_core::{Action, PeerId, RequestId, ServerId, Span};
 use std::rc::Rc;
--- a/crates/simulator-adapter/src/encode/tests.rs
+++ b/crates/simulator-adapter/src/encode/tests.rs
@@ -1,7 +1,7 @@
 //! Single actions, from the balancer's terms to JSON.
 
 use super::encode;
-use crate::instance::InstanceNames;
+use crate::instance_names::InstanceNames;
 use balancer_core::{Action, AttemptNumber, PeerId, RequestId, ServerId, Span, Time, TimerId};
 use std::rc::Rc;
 
--- a/crates/simulator-adapter/src/instance.rs
+++ b/crates/simulator-adapter/src/instance.rs
@@ -1,25 +1,15 @@
-//! One instance: a balancer and the names by which the simulator refers to what the balancer knows by number.
+//! One instance: a balancer, and its names.
 
 use crate::decode::decode;
 use crate::encode::encode;
 use crate::endpoint_lists::EndpointLists;
 use crate::error::EventError;
-use crate::request_table::RequestTable;
+use crate::instance_names::InstanceNames;
 use crate::wire::{WireAction, WireAttach, WireEvent};
 use balancer_core::{Action, Balancer, Settings, Time};
-use balancer_settings::ServerNames;
 use std::any::Any;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 
-/// The simulator's names of what one balancer knows by number.
-#[derive(Debug, Default)]
-pub struct InstanceNames {
-    /// The servers.
-    pub servers: ServerNames,
-    /// The requests.
-    pub requests: RequestTable,
-}
-
 /// One incarnation of an instance.
 pub struct Instance {
     balancer: Balancer,
--- a/crates/simulator-adapter/src/main.rs
+++ b/crates/simulator-adapter/src/main.rs
@@ -6,6 +6,7 @@
 mod error;
 mod host;
 mod instance;
+mod instance_names;
 mod request_table;
 mod session;
 mod wire;
