Tests: each condition of a retry's permission

Dropping the deadline, the stream or the attempt in flight from AttemptPermission::of failed no test, for callers see to some of it too. Each dropped by itself fails one now.

--- a/crates/balancer-core/src/policy/retry.rs
+++ b/crates/balancer-core/src/policy/retry.rs
@@ -80,3 +80,6 @@
         self.retry_budget.spend(RETRY_PRICE);
     }
 }
+
+#[cfg(test)]
+mod tests;
