--- a/crates/balancer-core/src/policy.rs
+++ b/crates/balancer-core/src/policy.rs
@@ -24,3 +24,6 @@
 pub use concurrency::ConcurrencyLimit;
 pub use ejection::Ejection;
 pub use watch::WatchRetry;
+
+#[cfg(test)]
+mod tests;
--- a/crates/balancer-core/src/state/latency/tests.rs
+++ b/crates/balancer-core/src/state/latency/tests.rs
@@ -115,6 +115,26 @@
     assert_close(FleetLatency::new(1).typical_latency_ms(&settings, 0), 40.0);
 }
 
+#[test]
+fn typical_latency_is_a_microsecond_at_least() {
+    let mut fleet = FleetLatency::new(1);
+    fleet.classes[0].typical_ratio = 0.0;
+
+    assert_close(fleet.typical_latency_ms(&Settings::default(), 0), 0.001);
+}
+
+#[test]
+fn slowness_is_relative_to_a_typical_ratio_of_a_thousandth_at_least() {
+    let mut fleet = FleetLatency::new(1);
+    fleet.classes[0].typical_ratio = 0.0001;
+    let mut server = ServerLatency::default();
+
+    fleet.record_success(0, 0.0008, &mut server);
+
+    // From 1.0 towards 0.0008 / 0.001 by the gain of a typical value.
+    assert_close(server.relative_slowness, 1.0 - 0.04 * 0.2);
+}
+
 #[test]
 fn unknown_machine_kinds_are_forgotten() {
     let mut fleet = FleetLatency::new(1);
