--- a/crates/balancer-agent/src/framing/connection_state.rs
+++ b/crates/balancer-agent/src/framing/connection_state.rs
@@ -29,6 +29,7 @@
     has_ambiguous_length: Cell<bool>,
     has_excess: Cell<bool>,
     is_answer_written: Cell<bool>,
+    has_answered: Cell<bool>,
     reader: RefCell<Option<Waker>>,
 }
 
@@ -41,6 +42,7 @@
             has_ambiguous_length: Cell::new(false),
             has_excess: Cell::new(false),
             is_answer_written: Cell::new(false),
+            has_answered: Cell::new(false),
             reader: RefCell::new(None),
         })
     }
@@ -97,11 +99,17 @@
         }
         self.enter(Phase::Idle);
         self.is_answer_written.set(true);
+        self.has_answered.set(true);
         if let Some(reader) = self.reader.borrow_mut().take() {
             reader.wake();
         }
     }
 
+    /// Whether an answer has been written over the connection.
+    pub fn has_answered(&self) -> bool {
+        self.has_answered.get()
+    }
+
     /// Whether an answer has been written since the last read.
     pub fn is_answer_written(&self) -> bool {
         self.is_answer_written.get()
--- a/crates/balancer-agent/src/listener/connection.rs
+++ b/crates/balancer-agent/src/listener/connection.rs
@@ -70,11 +70,9 @@
         let since = state.phase_since();
         match state.phase() {
             Phase::Silent => self.silent_limit(accepted_at),
+            Phase::Receiving if state.has_answered() => since + READ_TIMEOUT,
             // The first request's time counts from the connect.
-            Phase::Receiving if since.duration_since(accepted_at) < READ_TIMEOUT => {
-                accepted_at + READ_TIMEOUT
-            }
-            Phase::Receiving => since + READ_TIMEOUT,
+            Phase::Receiving => accepted_at + READ_TIMEOUT,
             // A request that is complete ends by its deadline.
             Phase::Processing => Instant::now() + CHECK_INTERVAL,
             // By then its client waits for it no more.
--- a/crates/balancer-agent/src/listener/tests.rs
+++ b/crates/balancer-agent/src/listener/tests.rs
@@ -1,6 +1,6 @@
 //! One client's connection: options that cannot be set, shutdown, and eviction, each as bytes cross it.
 
-use super::connection::CLOSE_TIMEOUT;
+use super::connection::{CLOSE_TIMEOUT, READ_TIMEOUT};
 use super::shutdown::ShutdownSchedule;
 use super::*;
 use crate::config::Config;
@@ -61,6 +61,14 @@
     poll_fn(|cx| Poll::Ready(connection.as_mut().poll(cx).is_pending())).await
 }
 
+/// Lets time pass, in which the connection must go on.
+async fn goes_on_for(time: Duration, connection: &mut Pin<&mut impl Future<Output = ()>>) {
+    tokio::select! {
+        () = connection.as_mut() => panic!("it has closed"),
+        () = sleep(time) => {}
+    }
+}
+
 /// Polls a connection until it is in a phase.
 async fn reach(phase: Phase, connection: &mut Pin<&mut impl Future<Output = ()>>, state: &ConnectionState) {
     while state.phase() != phase {
@@ -136,6 +144,27 @@
     LocalSet::new().run_until(play).await;
 }
 
+/// A request that begins shortly before the time for the connection's first request would be over has its own time.
+#[tokio::test(start_paused = true)]
+async fn a_later_request_is_not_cut_off_by_the_time_of_the_first() {
+    let play = async {
+        let (stream, mut client) = connection_without_options();
+        let state = ConnectionState::new();
+        let mut connection = pin!(listener().serve_connection(stream, state.clone(), Rc::default()));
+        client.write_all(READINESS_REQUEST).await.expect("it is written");
+        reach(Phase::Idle, &mut connection, &state).await;
+        goes_on_for(READ_TIMEOUT.mul_f64(0.98), &mut connection).await;
+
+        let (first_half, second_half) = REQUEST.split_at(REQUEST.len() / 2);
+        client.write_all(first_half).await.expect("it is written");
+        goes_on_for(READ_TIMEOUT / 2, &mut connection).await;
+        client.write_all(second_half).await.expect("it is written");
+
+        reach(Phase::Processing, &mut connection, &state).await;
+    };
+    LocalSet::new().run_until(play).await;
+}
+
 /// A silent connection is evicted, and its first request has come by the time it looks.
 #[tokio::test]
 async fn a_connection_with_a_request_at_its_eviction_stays() {
--- a/crates/balancer-core/src/policy/tests.rs
+++ b/crates/balancer-core/src/policy/tests.rs
@@ -2,7 +2,8 @@
 
 use crate::state::{EjectionReason, ServerIndex};
 use crate::{
-    Balancer, Endpoint, EndpointUpdate, Event, LoadReportField, Outcome, ServerId, Settings, Span, Time, ZoneId,
+    Balancer, Endpoint, EndpointUpdate, Event, LoadReportField, Outcome, ServerId, Settings, Span, Time,
+    ZoneId,
 };
 
 const START: Time = Time(1_000_000);
