Keep the work of a sparse view out of the dense one; one way to a server's capacity share

A last read of the readable code: admits computed the share that is shed first for every request, though only a sparse view needs it; learn_latency had its own call of what Balancer::capacity_share does; ServerHealth::record matched an outcome twice and finish built an action that it might not use.

--- a/crates/balancer-core/src/policy/feedback.rs
+++ b/crates/balancer-core/src/policy/feedback.rs
@@ -3,7 +3,7 @@
 use super::admission::SLOW_RATIO;
 use super::concurrency::{LATE_RATIO, TARGET_RATIO};
 use super::outlier::OUTLIER_FACTOR;
-use crate::state::{EndedAttempt, InFlightAttempt, WarmUp};
+use crate::state::{EndedAttempt, InFlightAttempt};
 use crate::{Balancer, Outcome};
 
 /// The latency ratio of an attempt that does not show load.
@@ -71,8 +71,8 @@
 
     /// Records what a latency shows of a server, its kind of machine, slow start and its concurrency limit.
     fn learn_latency(&mut self, attempt: &InFlightAttempt, ended: &EndedAttempt, ratio: f64) {
+        let capacity_share = self.capacity_share(&self.registry[attempt.server]);
         let (now, server) = (self.now, &mut self.registry[attempt.server]);
-        let capacity_share = WarmUp::capacity_share(&self.settings, &server.endpoint, now);
         self.warm_up.record_latency(capacity_share, ratio);
         self.latency.record_sample(server.endpoint.machine_kind, ratio, &mut server.latency);
         let min_limit = 1.0 / f64::from(self.settings.balancer_count.max(1));
--- a/crates/balancer-core/src/policy/lifecycle.rs
+++ b/crates/balancer-core/src/policy/lifecycle.rs
@@ -89,9 +89,11 @@
     /// Gives the final answer: a rejection if that promise holds, else a failure.
     pub(crate) fn finish(&mut self, id: RequestId) {
         let Some(active) = self.requests.remove(&id) else { return };
-        let may_reject = AttemptPermission::of(&self.settings, &active, self.now).may_reject;
-        let retry_after = self.retry_after(active.class());
-        let rejection = Action::Reject { request: id, retry_after };
-        self.actions.push(if may_reject { rejection } else { Action::Fail { request: id } });
+        if AttemptPermission::of(&self.settings, &active, self.now).may_reject {
+            let retry_after = self.retry_after(active.class());
+            self.actions.push(Action::Reject { request: id, retry_after });
+        } else {
+            self.actions.push(Action::Fail { request: id });
+        }
     }
 }
--- a/crates/balancer-core/src/policy/shedding.rs
+++ b/crates/balancer-core/src/policy/shedding.rs
@@ -20,8 +20,11 @@
 
     /// Whether a request of this rank is admitted.
     pub(crate) fn admits(&mut self, order: ShedOrder) -> bool {
-        let shed_first_share = self.shed_first_share();
-        !self.is_sparse() || self.rng.f64() < self.admission.probability_for(order, shed_first_share)
+        if !self.is_sparse() {
+            return true;
+        }
+        let probability = self.admission.probability_for(order, self.shed_first_share());
+        self.rng.f64() < probability
     }
 
     /// The share of the traffic whose class is shed first.
--- a/crates/balancer-core/src/state/server.rs
+++ b/crates/balancer-core/src/state/server.rs
@@ -67,16 +67,20 @@
     /// Takes in how an attempt ended. A full server is not unhealthy: it is only sent less.
     pub fn record(&mut self, now: Time, outcome: Outcome, is_late: bool) {
         match outcome {
-            Outcome::Success => self.failures = 0,
-            Outcome::ServerError | Outcome::ConnectionReset | Outcome::ConnectFailed => self.failures += 1,
-            Outcome::Rejected | Outcome::NotSent | Outcome::Cancelled | Outcome::TimedOut => {}
-        }
-        match outcome {
-            Outcome::NotSent | Outcome::Cancelled | Outcome::TimedOut | Outcome::ConnectFailed => {}
-            _ => self.last_response = now,
-        }
-        if outcome == Outcome::Success && !is_late {
-            self.suspected_until = now;
+            Outcome::Success => {
+                self.failures = 0;
+                self.last_response = now;
+                if !is_late {
+                    self.suspected_until = now;
+                }
+            }
+            Outcome::Rejected => self.last_response = now,
+            Outcome::ServerError | Outcome::ConnectionReset => {
+                self.failures += 1;
+                self.last_response = now;
+            }
+            Outcome::ConnectFailed => self.failures += 1,
+            Outcome::NotSent | Outcome::Cancelled | Outcome::TimedOut => {}
         }
     }
 }
