Listen to a discovery service that responds after the timeout of a call

Cause: a call failed 1.5 s after its wait, and a failed call closed its connection, so that the response on its way was thrown away; the next call was the same one with the same limit (discovery.rs, `DiscoveryClient::call`). Ruled out: a list that is read and refused (the next call comes before the response), a SIGHUP that is not carried out (the new service is called within 5 ms).

Change: an overdue response still makes the watch fail, so that the balancer reopens it as soon as before if the connection has fallen silent. The overdue call stays open beside the next one, and the first response wins. At most four calls are open. A list that was overtaken by a newer one is ignored. On a related path, SIGHUP with an unchanged address no longer closes the open call. The wait for changes had the same limit and is fixed with it.

The tests failed on the code before: `a_list_is_received_although_each_response_is_overdue` ("list 2 was not received in time"), `an_unchanged_address_keeps_the_open_call`, `a_list_that_was_overtaken_by_a_newer_one_is_ignored`. The test of the silent call was moved from the call to the watch, with its bounds.

--- a/crates/balancer-agent/src/discovery/tests.rs
+++ b/crates/balancer-agent/src/discovery/tests.rs
@@ -1,9 +1,16 @@
-//! Tests of the timeout of calls to discovery.
+//! Tests of the watch with a discovery service that is silent, slow, or slow at times. The clock is paused.
 
+use super::call::MAX_CALL_WAIT;
 use super::*;
-use tokio::net::TcpListener;
-use tokio::task::LocalSet;
-use tokio::time::Instant;
+use serde_json::json;
+use std::cell::{Cell, RefCell};
+use std::future::pending;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch::Sender;
+use tokio::task::{spawn_local, LocalSet};
+use tokio::time::{sleep, Instant};
 
 /// The maximum delay before the balancer reopens a broken watch.
 const MAX_REOPEN_DELAY: Duration = Duration::from_millis(350);
@@ -11,21 +18,374 @@
 /// protocol assumes it. If the call gets no response, the next call must start within this time, because
 /// requests to a removed server must end one drain grace later.
 const ASSUMED_NOTIFICATION_DELAY: Duration = Duration::from_secs(2);
+/// The maximum time between a change at discovery and the notification of the agent, as the protocol assumes
+/// it, whatever happens to calls.
+const MAX_NOTIFICATION_DELAY: Duration = Duration::from_secs(6);
+/// A response time of discovery that is longer than a call may take before its response is overdue.
+const SLOW_RESPONSE: Duration = Duration::from_millis(1_800);
+/// The version of the cached list.
+const CACHED_VERSION: u64 = 1;
 
+/// How a discovery service responds.
+enum Responses {
+    /// Each response takes this long, counted from the moment at which the service has a list to send.
+    After(Duration),
+    /// The first calls get these replies. Other calls get no response.
+    InTurn(Vec<Reply>),
+    Never,
+}
+
+/// A reply to one call.
+#[derive(Clone, Copy)]
+enum Reply {
+    /// The service sends the list with this version after this time.
+    List(u64, Duration),
+    /// The service closes the connection after this time.
+    Close(Duration),
+}
+
+/// A discovery service whose list has no entries.
+struct TestDiscovery {
+    responses: Responses,
+    version: Sender<u64>,
+    /// The targets of the received calls.
+    calls: RefCell<Vec<String>>,
+    open_connections: Cell<usize>,
+    max_open_connections: Cell<usize>,
+}
+
+impl TestDiscovery {
+    /// Starts a service with version 1 of the list, and returns its address.
+    async fn start(responses: Responses) -> (Rc<Self>, SocketAddr) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let discovery = Rc::new(TestDiscovery {
+            responses,
+            version: Sender::new(1),
+            calls: RefCell::default(),
+            open_connections: Cell::default(),
+            max_open_connections: Cell::default(),
+        });
+        spawn_local(discovery.clone().accept(listener));
+        (discovery, address)
+    }
+
+    async fn accept(self: Rc<Self>, listener: TcpListener) {
+        while let Ok((stream, _)) = listener.accept().await {
+            spawn_local(self.clone().serve(stream));
+        }
+    }
+
+    async fn serve(self: Rc<Self>, mut stream: TcpStream) {
+        self.open_connections.set(self.open_connections.get() + 1);
+        self.max_open_connections.set(self.max_open_connections.get().max(self.open_connections.get()));
+        while let Some(target) = read_target(&mut stream).await {
+            self.calls.borrow_mut().push(target.clone());
+            let call_count = self.calls.borrow().len();
+            let mut further_byte = [0];
+            let body = tokio::select! {
+                body = self.respond(&target, call_count) => body,
+                // The client sends nothing while a call is open, so a read ends only at the end of the
+                // connection.
+                _ = stream.read(&mut further_byte) => None,
+            };
+            let Some(body) = body else { break };
+            let response = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            stream.write_all(response.as_bytes()).await.unwrap_or(());
+        }
+        self.open_connections.set(self.open_connections.get() - 1);
+    }
+
+    /// Waits until the response to a call is due, and returns its body, or `None` if the connection is to be
+    /// closed.
+    async fn respond(&self, target: &str, call_count: usize) -> Option<String> {
+        let reply = match &self.responses {
+            Responses::After(delay) => Some(Reply::List(self.wait_for_change(target).await, *delay)),
+            Responses::InTurn(replies) => replies.get(call_count - 1).copied(),
+            Responses::Never => None,
+        };
+        match reply {
+            Some(Reply::List(version, delay)) => {
+                sleep(delay).await;
+                Some(list(version))
+            }
+            Some(Reply::Close(delay)) => {
+                sleep(delay).await;
+                None
+            }
+            None => pending().await,
+        }
+    }
+
+    /// Returns the version of the list, for a watch after a change or after the maximum wait.
+    async fn wait_for_change(&self, target: &str) -> u64 {
+        if let Some(known_version) = known_version(target) {
+            let mut version = self.version.subscribe();
+            let changed = version.wait_for(|version| *version > known_version);
+            tokio::select! {
+                _ = changed => {}
+                () = sleep(MAX_CALL_WAIT) => {}
+            }
+        }
+        *self.version.borrow()
+    }
+}
+
+/// Reads a request and returns its target, or `None` at the end of the connection.
+async fn read_target(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        if stream.read_buf(&mut head).await.ok()? == 0 {
+            return None;
+        }
+    }
+    let head = String::from_utf8(head).expect("a text");
+    head.split(' ').nth(1).map(str::to_owned)
+}
+
+fn known_version(target: &str) -> Option<u64> {
+    let (_, value) = target.split_once("after=")?;
+    value.split('&').next()?.parse().ok()
+}
+
+fn list(version: u64) -> String {
+    json!({"seq": version, "whole": true, "hosts": []}).to_string()
+}
+
+/// A handler that records events and, like the balancer, reopens the watch some time after a failure.
+struct TestHandler {
+    discovery: RefCell<Discovery>,
+    started_at: Instant,
+    events: RefCell<Vec<(Duration, WatchEvent)>>,
+}
+
+impl TestHandler {
+    fn start_watch(discovery: Discovery) -> Rc<Self> {
+        let handler = Rc::new(TestHandler {
+            discovery: RefCell::new(discovery),
+            started_at: Instant::now(),
+            events: RefCell::default(),
+        });
+        handler.watch();
+        handler
+    }
+
+    fn watch(self: &Rc<Self>) {
+        self.discovery.borrow_mut().watch(self.clone());
+    }
+
+    fn set_address(self: &Rc<Self>, address: SocketAddr) {
+        self.discovery.borrow_mut().set_address(address);
+        self.watch();
+    }
+
+    /// Returns when failures were reported, counted from the start.
+    fn failures(&self) -> Vec<Duration> {
+        let events = self.events.borrow();
+        let failures = events.iter().filter(|(_, event)| *event == WatchEvent::Failed);
+        failures.map(|(after, _)| *after).collect()
+    }
+
+    /// Returns the versions of the received lists, and when they arrived, counted from the start.
+    fn received_lists(&self) -> Vec<(u64, Duration)> {
+        let events = self.events.borrow();
+        let version_of = |(after, event): &(Duration, WatchEvent)| match event {
+            WatchEvent::Endpoints(list) => Some((list.version, *after)),
+            WatchEvent::Failed => None,
+        };
+        events.iter().filter_map(version_of).collect()
+    }
+
+    /// Returns when a list of at least this version arrived, counted from the start.
+    fn received_after(&self, version: u64) -> Option<Duration> {
+        self.received_lists().into_iter().find(|(received, _)| *received >= version).map(|(_, after)| after)
+    }
+}
+
+impl WatchHandler for TestHandler {
+    fn handle_watch_event(self: Rc<Self>, event: WatchEvent) {
+        let is_failure = event == WatchEvent::Failed;
+        self.events.borrow_mut().push((self.started_at.elapsed(), event));
+        if is_failure {
+            spawn_local(async move {
+                sleep(MAX_REOPEN_DELAY).await;
+                self.watch();
+            });
+        }
+    }
+}
+
+/// Returns a `Discovery` that has been moved to this address, so that its watch begins with the complete list.
+fn moved_discovery(address: SocketAddr) -> Discovery {
+    let mut discovery = Discovery::new(SocketAddr::from(([127, 0, 0, 1], 1)), CACHED_VERSION);
+    discovery.set_address(address);
+    discovery
+}
+
+/// Guards against a drain that is noticed too late because a silent call delays the next one.
+#[tokio::test(start_paused = true)]
+async fn a_watch_without_a_response_fails_in_time_for_the_next_call() {
+    let test = async {
+        let (_discovery, address) = TestDiscovery::start(Responses::Never).await;
+        let handler = TestHandler::start_watch(Discovery::new(address, CACHED_VERSION));
+
+        sleep(MAX_CALL_WAIT + ASSUMED_NOTIFICATION_DELAY).await;
+
+        let failed_after = *handler.failures().first().expect("the watch should have failed");
+        assert!(failed_after >= MAX_CALL_WAIT, "the call failed during its wait: {failed_after:?}");
+        assert!(
+            failed_after + MAX_REOPEN_DELAY <= MAX_CALL_WAIT + ASSUMED_NOTIFICATION_DELAY,
+            "{failed_after:?}"
+        );
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against a list that is never heard because discovery always needs longer than the timeout: each call
+/// was given up before its response arrived, and the next call was given up in the same way.
+#[tokio::test(start_paused = true)]
+async fn a_list_is_received_although_each_response_is_overdue() {
+    let test = async {
+        let (discovery, address) = TestDiscovery::start(Responses::After(SLOW_RESPONSE)).await;
+        let handler = TestHandler::start_watch(moved_discovery(address));
+
+        for version in 2..12 {
+            // The changes fall into different phases of the calls.
+            sleep(Duration::from_millis(300)).await;
+            discovery.version.send_replace(version);
+            sleep(MAX_NOTIFICATION_DELAY).await;
+
+            assert!(handler.received_after(version).is_some(), "list {version} was not received in time");
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against an old list that overwrites a newer one. The response to the second call is sent after the
+/// response to the first one, with an older list.
+#[tokio::test(start_paused = true)]
+async fn a_list_that_was_overtaken_by_a_newer_one_is_ignored() {
+    let replies = vec![Reply::List(7, Duration::from_secs(3)), Reply::List(6, Duration::from_secs(2))];
+    let test = async {
+        let (discovery, address) = TestDiscovery::start(Responses::InTurn(replies)).await;
+        let handler = TestHandler::start_watch(moved_discovery(address));
+
+        sleep(Duration::from_secs(10)).await;
+
+        let received: Vec<u64> = handler.received_lists().iter().map(|(version, _)| *version).collect();
+        assert_eq!(received, [7]);
+        let calls = discovery.calls.borrow();
+        assert_eq!(calls[..2], ["/v1/endpoints", "/v1/endpoints"]);
+        assert!(calls[2..].iter().all(|call| known_version(call) == Some(7)), "{calls:?}");
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against calls that stay open although their responses can contain nothing new.
+#[tokio::test(start_paused = true)]
+async fn a_response_to_a_later_call_closes_the_earlier_one() {
+    let replies = vec![Reply::List(6, Duration::from_secs(4)), Reply::List(7, Duration::from_secs(1))];
+    let test = async {
+        let (discovery, address) = TestDiscovery::start(Responses::InTurn(replies)).await;
+        let handler = TestHandler::start_watch(moved_discovery(address));
+
+        sleep(Duration::from_millis(3_500)).await;
+
+        assert_eq!(handler.received_lists().len(), 1);
+        assert_eq!(handler.received_lists()[0].0, 7);
+        assert_eq!(discovery.open_connections.get(), 1);
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against a second reopening for one failure, and for the failure of a call that has been replaced.
+#[tokio::test(start_paused = true)]
+async fn a_connection_that_breaks_after_its_response_was_overdue_is_no_further_failure() {
+    let overdue = Duration::from_millis(1_500);
+    // Before and after the watch is reopened.
+    for close_after in [overdue + MAX_REOPEN_DELAY / 2, overdue + MAX_REOPEN_DELAY * 2] {
+        let test = async {
+            let replies = vec![Reply::Close(close_after)];
+            let (_discovery, address) = TestDiscovery::start(Responses::InTurn(replies)).await;
+            let handler = TestHandler::start_watch(moved_discovery(address));
+
+            sleep(Duration::from_secs(4)).await;
+
+            assert_eq!(handler.failures(), [overdue, overdue + MAX_REOPEN_DELAY + overdue]);
+        };
+        LocalSet::new().run_until(test).await;
+    }
+}
+
+/// Guards against a crowded discovery service that is never heard because the oldest call is given up first.
+#[tokio::test(start_paused = true)]
+async fn a_list_is_received_even_if_it_takes_longer_than_all_calls_that_can_be_open() {
+    const VERY_SLOW_RESPONSE: Duration = Duration::from_secs(20);
+    let test = async {
+        let (_discovery, address) = TestDiscovery::start(Responses::After(VERY_SLOW_RESPONSE)).await;
+        let handler = TestHandler::start_watch(moved_discovery(address));
+
+        sleep(Duration::from_secs(30)).await;
+
+        assert_eq!(handler.received_after(1), Some(VERY_SLOW_RESPONSE));
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against series of calls beside each other, each of which goes on after a late response.
+#[tokio::test(start_paused = true)]
+async fn a_slow_discovery_service_gets_no_more_calls_than_a_silent_one() {
+    let duration = Duration::from_secs(120);
+    // Longer than it takes until the watch is reopened, so that two calls are open at a time.
+    let response_time = Duration::from_millis(2_500);
+    let test = async {
+        let (slow, slow_address) = TestDiscovery::start(Responses::After(response_time)).await;
+        let (silent, silent_address) = TestDiscovery::start(Responses::Never).await;
+        let _slow_handler = TestHandler::start_watch(Discovery::new(slow_address, CACHED_VERSION));
+        let _silent_handler = TestHandler::start_watch(Discovery::new(silent_address, CACHED_VERSION));
+
+        sleep(duration).await;
+
+        let (slow_calls, silent_calls) = (slow.calls.borrow().len(), silent.calls.borrow().len());
+        assert!(slow_calls <= silent_calls, "{slow_calls} calls, and {silent_calls} of a silent service");
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against descriptors that fill up while discovery is silent.
+#[tokio::test(start_paused = true)]
+async fn a_silent_discovery_service_holds_few_connections() {
+    const MAX_CONNECTIONS: usize = 4;
+    let test = async {
+        let (discovery, address) = TestDiscovery::start(Responses::Never).await;
+        let _handler = TestHandler::start_watch(moved_discovery(address));
+
+        sleep(Duration::from_secs(60)).await;
+
+        assert!(discovery.calls.borrow().len() > 20, "the watch was not reopened");
+        assert!(discovery.open_connections.get() <= MAX_CONNECTIONS);
+        // A connection may be accepted before the end of the one that it replaces has been read.
+        assert!(discovery.max_open_connections.get() <= MAX_CONNECTIONS + 1);
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against a response that is never awaited because configurations with the same address follow each
+/// other faster than discovery responds.
 #[tokio::test(start_paused = true)]
-async fn a_call_without_a_response_times_out_in_time_for_the_next_call() {
-    let silent_listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let address = silent_listener.local_addr().expect("an address");
-    let mut client = DiscoveryClient { address, connection: None };
-    let started_at = Instant::now();
+async fn an_unchanged_address_keeps_the_open_call() {
+    let test = async {
+        let (discovery, address) = TestDiscovery::start(Responses::After(SLOW_RESPONSE)).await;
+        let handler = TestHandler::start_watch(moved_discovery(address));
 
-    let list = LocalSet::new().run_until(client.changes_after(1)).await;
+        for _ in 0..4 {
+            sleep(Duration::from_secs(1)).await;
+            handler.set_address(address);
+        }
 
-    let failed_after = started_at.elapsed();
-    assert_eq!(list, None);
-    assert!(failed_after >= MAX_CALL_WAIT, "the call failed during its wait: {failed_after:?}");
-    assert!(
-        failed_after + MAX_REOPEN_DELAY <= MAX_CALL_WAIT + ASSUMED_NOTIFICATION_DELAY,
-        "{failed_after:?}"
-    );
+        assert_eq!(handler.received_after(1), Some(SLOW_RESPONSE));
+        let calls = discovery.calls.borrow();
+        assert_eq!(calls.iter().filter(|call| known_version(call).is_none()).count(), 1, "{calls:?}");
+    };
+    LocalSet::new().run_until(test).await;
 }
--- a/crates/balancer-agent/src/driver.rs
+++ b/crates/balancer-agent/src/driver.rs
@@ -89,7 +89,10 @@
             events: RefCell::new(EventQueue::new(balancer)),
             timers: Timers::default(),
             requests: RefCell::default(),
-            endpoint_watch: RefCell::new(EndpointWatch::new(config.discovery_address)),
+            endpoint_watch: RefCell::new(EndpointWatch::new(
+                config.discovery_address,
+                config.cached_endpoints.version,
+            )),
             client: ServerClient::new(pool, host_settings.load_report_fields.clone()),
             host_settings,
         });
@@ -135,7 +138,7 @@
     }
 
     /// Changes the address of discovery and starts a watch there, which begins with the complete endpoint
-    /// list. The known servers stay in use until that list arrives.
+    /// list. The known servers stay in use until that list arrives. An unchanged address changes nothing.
     pub fn set_discovery_address(self: &Rc<Self>, address: SocketAddr) {
         self.endpoint_watch.borrow_mut().set_discovery_address(address, self.clone());
     }
--- a/crates/balancer-agent/src/driver/endpoint_watch.rs
+++ b/crates/balancer-agent/src/driver/endpoint_watch.rs
@@ -22,18 +22,19 @@
 }
 
 impl EndpointWatch {
-    /// Creates a watch that has not been started.
-    pub fn new(discovery_address: SocketAddr) -> Self {
-        EndpointWatch { discovery: Discovery::new(discovery_address), names: RetainedServerNames::default() }
+    /// Creates a watch that has not been started. It will begin with the changes since the cached list.
+    pub fn new(discovery_address: SocketAddr, cached_version: u64) -> Self {
+        let discovery = Discovery::new(discovery_address, cached_version);
+        EndpointWatch { discovery, names: RetainedServerNames::default() }
     }
 
-    /// Starts the watch, which begins with the changes since the last received list, or with the complete
-    /// list if none has been received from this address.
+    /// Starts the watch, or continues it after a failure.
     pub fn start(&mut self, handler: Rc<impl WatchHandler + 'static>) {
         self.discovery.watch(handler);
     }
 
-    /// Changes the address of discovery and starts a watch there, which begins with the complete list.
+    /// Changes the address of discovery and starts a watch there, which begins with the complete list. Has no
+    /// effect on a watch that has not failed if the address is the present one.
     pub fn set_discovery_address(&mut self, address: SocketAddr, handler: Rc<impl WatchHandler + 'static>) {
         self.discovery.set_address(address);
         self.discovery.watch(handler);
@@ -52,7 +53,6 @@
         settings: &HostSettings,
         pool: &ConnectionPool,
     ) -> Vec<Endpoint> {
-        self.discovery.record_version(list.version);
         let translated = translate(list, &mut self.names, settings);
         self.names.record_list(&translated);
         for (endpoint, entry) in translated.endpoints.iter().zip(&list.entries) {
--- a/crates/balancer-core/src/event.rs
+++ b/crates/balancer-core/src/event.rs
@@ -207,7 +207,7 @@
         /// The contents of the message.
         payload: Vec<u8>,
     },
-    /// Open a watch of the endpoint list. The new watch replaces one that is already open.
+    /// Open a watch of the endpoint list, or continue it after [`EndpointUpdate::Failed`].
     WatchEndpoints,
     /// Log a notice for the operators.
     Notify(Notice),
