Serve a response without a length if its connection ends in good order

Cause: `has_valid_length` failed every 200 without a length at its head, so that a truncated body is never served. Ruled out: a body that hyper fails on (it was never read), a success lost behind the agent (the text is that of a failed attempt, the clients' other responses arrive).

Change: the body is read to the end of the connection and counts only if that end is orderly. The socket records which end it was, because the kernel reports a reset once: after a write has noticed it, the next read looks like an orderly end. Load reports without a length failed their health checks in the same way and are read now. A response whose last transfer coding is not `chunked` also ends with its connection; it was served and fails now, as do two `Transfer-Encoding` headers.

Failed on the code before: `a_response_of_unknown_length_is_served_if_its_connection_ends_in_order` (502), `a_response_without_a_length_is_complete_only_at_the_orderly_end_of_its_connection` and `a_load_report_without_a_length_is_read` (ConnectionReset), `a_response_with_an_unknown_transfer_coding_fails_its_attempt` (200). The check of the recorded end in `ServerClient::exchange` has no test of its own: hyper reported each reset that the tests provoke as an error.

All 363 tests pass.

--- a/crates/balancer-agent/src/upstream/client.rs
+++ b/crates/balancer-agent/src/upstream/client.rs
@@ -3,7 +3,7 @@
 use super::attempt::{AttemptProgress, AttemptResult};
 use super::pool::{Connection, ConnectionPool, REUSE_DELAY};
 use super::request_write::RequestWrite;
-use super::response::{has_valid_length, load_report_of, outcome_of, parse_load_report};
+use super::response::{body_end_of, load_report_of, outcome_of, parse_load_report, BodyEnd};
 use super::{MAX_BODY_BYTES, MAX_HEAD_BYTES};
 use crate::request::ServedResponse;
 use balancer_core::{Outcome, ServerId};
@@ -143,10 +143,14 @@
             }
             return Ok(AttemptResult { outcome, load_report, response: None });
         }
-        if !has_valid_length(&response) {
+        let body_end = body_end_of(&response).ok_or(ExchangeError)?;
+        let response = read_response(response).await?;
+        // The end of the connection ends a body only if it is orderly. The bodies of other responses are not
+        // used, so it does not matter whether they are truncated.
+        let must_end_orderly = outcome == Outcome::Success && body_end == BodyEnd::Connection;
+        if must_end_orderly && !connection.socket_state().has_orderly_end() {
             return Err(ExchangeError);
         }
-        let response = read_response(response).await?;
         self.release_when_ready(connection);
         let response = (outcome == Outcome::Success).then_some(response);
         Ok(AttemptResult { outcome, load_report, response })
--- a/crates/balancer-agent/src/upstream/counting_stream.rs
+++ b/crates/balancer-agent/src/upstream/counting_stream.rs
@@ -1,5 +1,5 @@
-//! A socket that counts the bytes written to it and limits reads and writes. The count shows whether a server
-//! may have run a request whose connection broke.
+//! A socket that counts the bytes written to it, limits reads and writes, and records how the peer's data
+//! ended. The count shows whether a server may have run a request whose connection broke.
 
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
@@ -14,8 +14,21 @@
 /// The maximum number of bytes that one read returns.
 const READ_CHUNK_BYTES: usize = 4 << 10;
 
-/// The write count and the limits of a connection's socket, shared between the task that drives the
-/// connection and the code that sends requests over it.
+/// How the data from the peer has ended. The first end is kept.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum ReadEnd {
+    /// It has not ended.
+    #[default]
+    None,
+    /// The peer has closed its direction of the connection after its last byte.
+    Orderly,
+    /// A read or a write failed, for example because the peer has reset the connection. The kernel reports a
+    /// reset only once. After a write that failed, a read may therefore look like an orderly end.
+    Broken,
+}
+
+/// The write count, the limits and the read end of a connection's socket, shared between the task that drives
+/// the connection and the code that sends requests over it.
 #[derive(Default)]
 pub struct SocketState {
     bytes_written: Cell<u64>,
@@ -24,6 +37,7 @@
     /// The time after which writes fail, if there is one.
     write_by: Cell<Option<Instant>>,
     is_write_closed: Cell<bool>,
+    read_end: Cell<ReadEnd>,
 }
 
 impl SocketState {
@@ -47,6 +61,23 @@
         self.is_write_closed.set(true);
     }
 
+    /// Returns whether the peer has closed its direction of the connection after its last byte, and that byte
+    /// has been read.
+    pub fn has_orderly_end(&self) -> bool {
+        self.read_end.get() == ReadEnd::Orderly
+    }
+
+    fn record_end(&self, end: ReadEnd) {
+        if self.read_end.get() == ReadEnd::None {
+            self.read_end.set(end);
+        }
+    }
+
+    /// Records the end of the data if the result of a read or a write is an error.
+    fn check_result<T>(&self, result: io::Result<T>) -> io::Result<T> {
+        result.inspect_err(|_| self.record_end(ReadEnd::Broken))
+    }
+
     fn check_writable(&self) -> io::Result<()> {
         let is_past_deadline = self.write_by.get().is_some_and(|write_by| Instant::now() > write_by);
         if self.is_write_closed.get() || is_past_deadline {
@@ -78,7 +109,11 @@
         let mut chunk = [0; READ_CHUNK_BYTES];
         let space = chunk.len().min(buf.remaining());
         let mut read = ReadBuf::new(&mut chunk[..space]);
-        ready!(Pin::new(&mut self.io).poll_read(cx, read.unfilled()))?;
+        let result = ready!(Pin::new(&mut self.io).poll_read(cx, read.unfilled()));
+        self.socket_state.check_result(result)?;
+        if read.filled().is_empty() && space > 0 {
+            self.socket_state.record_end(ReadEnd::Orderly);
+        }
         let allowance = self.socket_state.read_allowance.get().checked_sub(read.filled().len() as u64);
         self.socket_state.read_allowance.set(allowance.ok_or(io::ErrorKind::InvalidData)?);
         buf.put_slice(read.filled());
@@ -109,8 +144,12 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.socket_state.check_writable()?;
-        let written = ready!(Pin::new(&mut self.io).poll_write_vectored(cx, bufs))?;
+        let result = ready!(Pin::new(&mut self.io).poll_write_vectored(cx, bufs));
+        let written = self.socket_state.check_result(result)?;
         self.socket_state.bytes_written.set(self.socket_state.bytes_written() + written as u64);
         Poll::Ready(Ok(written))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/balancer-agent/src/upstream/response.rs
+++ b/crates/balancer-agent/src/upstream/response.rs
@@ -3,7 +3,7 @@
 use super::MAX_BODY_BYTES;
 use balancer_core::{LoadReport, Outcome};
 use hyper::body::Body;
-use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::header::{HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{Response, StatusCode};
 
 /// Returns the outcome that a server's response indicates.
@@ -21,18 +21,37 @@
     }
 }
 
-/// Returns whether a response states the length of its body unambiguously, and the length is at most
-/// [`MAX_BODY_BYTES`].
+/// Where the body of a response ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyEnd {
+    /// At the stated length, or at the last chunk.
+    Stated,
+    /// At the end of the connection, if that end is orderly.
+    Connection,
+}
+
+/// Returns where the body of a response ends. Returns `None` if the response does not tell, or if the stated
+/// length exceeds [`MAX_BODY_BYTES`].
 ///
-/// If a response states several lengths, hyper uses one of them, which may be the wrong one. If a response
-/// states none, hyper takes a truncated body for a complete one. Only a successful response must state a
-/// length, because the bodies of other responses are not used.
-pub fn has_valid_length<B: Body>(response: &Response<B>) -> bool {
+/// If a response states several lengths, hyper uses one of them, which may be the wrong one. If a transfer
+/// coding other than `chunked` comes last, the body ends with the connection, but is not the server's body.
+pub fn body_end_of<B: Body>(response: &Response<B>) -> Option<BodyEnd> {
     let headers = response.headers();
-    let lengths = headers.get_all(CONTENT_LENGTH).iter().chain(headers.get(TRANSFER_ENCODING)).count();
-    let needs_length = response.status() == StatusCode::OK;
-    let is_ambiguous = lengths > 1 || (lengths == 0 && needs_length);
-    !is_ambiguous && response.body().size_hint().lower() <= MAX_BODY_BYTES as u64
+    let mut transfer_codings = headers.get_all(TRANSFER_ENCODING).iter();
+    match (headers.get_all(CONTENT_LENGTH).iter().count(), transfer_codings.next()) {
+        (0, None) => Some(BodyEnd::Connection),
+        (1, None) => {
+            (response.body().size_hint().lower() <= MAX_BODY_BYTES as u64).then_some(BodyEnd::Stated)
+        }
+        (0, Some(coding)) if is_chunked(coding) && transfer_codings.next().is_none() => Some(BodyEnd::Stated),
+        _ => None,
+    }
+}
+
+/// Returns whether the last of the listed transfer codings is `chunked`.
+fn is_chunked(codings: &HeaderValue) -> bool {
+    let last = codings.as_bytes().rsplit(|byte| *byte == b',').next().unwrap_or_default();
+    last.trim_ascii().eq_ignore_ascii_case(b"chunked")
 }
 
 /// Returns the load report in the header of a response, if there is one.
--- a/crates/balancer-agent/tests/common/server.rs
+++ b/crates/balancer-agent/tests/common/server.rs
@@ -41,6 +41,8 @@
     KeepOpen(Vec<u8>),
     /// The server sends these bytes and shuts down its write half of the connection.
     Close(Vec<u8>),
+    /// The server sends these bytes and resets the connection.
+    Reset(Vec<u8>),
     /// The server sends these bytes once the gate releases them, and keeps the connection open.
     WhenReleased(ResponseGate, Vec<u8>),
     /// The server sends nothing and keeps the connection open.
@@ -57,6 +59,10 @@
                 stream.write_all(&bytes).await.unwrap_or(());
                 stream.shutdown().await.unwrap_or(());
             }
+            ServerReply::Reset(bytes) => {
+                stream.write_all(&bytes).await.unwrap_or(());
+                stream.set_zero_linger().expect("the socket option should be set");
+            }
             ServerReply::WhenReleased(gate, bytes) => {
                 gate.wait().await;
                 stream.write_all(&bytes).await.unwrap_or(());
@@ -176,13 +182,17 @@
 }
 
 impl ConnectionHandler {
-    /// Replies to the requests of a connection until the agent closes the connection.
+    /// Replies to the requests of a connection until the agent closes or a reply resets the connection.
     async fn serve(self, mut stream: TcpStream, number: usize) {
         while let Some(request) = read_message(&mut stream, number).await {
             let reply = (self.script)(&request);
             // Sending fails if the channel is full because the test does not read the requests.
             let _ = self.requests.try_send(request);
+            let ends_connection = matches!(reply, ServerReply::Reset(_));
             reply.send(&mut stream).await;
+            if ends_connection {
+                break;
+            }
         }
         let _ = self.closed.send(number).await;
     }
