--- a/crates/balancer-agent/src/driver.rs
+++ b/crates/balancer-agent/src/driver.rs
@@ -19,15 +19,15 @@
 use crate::request::{ClientRequest, SubmittedRequest};
 use crate::upstream::{AttemptResult, ConnectionPool, PoolLimits, ServerClient};
 use balancer_core::{
-    Action, Balancer, ClassId, Effect, Endpoint, EndpointUpdate, Event, Notice, RequestId, ServerId,
-    SettingsError, Span,
+    Action, AttemptId, Balancer, ClassId, Effect, Endpoint, EndpointUpdate, Event, Notice, RequestId,
+    ServerId, SettingsError, Span,
 };
 use balancer_settings::HostSettings;
 use endpoint_watch::EndpointWatch;
 use event_queue::EventQueue;
 use notice_text::format_notice;
 use outgoing::build_outgoing_request;
-use requests::{AttemptId, RequestTracker};
+use requests::RequestTracker;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/balancer-agent/src/driver/requests.rs
+++ b/crates/balancer-agent/src/driver/requests.rs
@@ -3,12 +3,10 @@
 mod attempts;
 mod pending;
 
-pub use attempts::AttemptId;
-
 use crate::request::{ClientRequest, FinalResponse, ServedResponse, SubmittedRequest};
 use crate::upstream::AttemptProgress;
 use attempts::AttemptsInFlight;
-use balancer_core::{Outcome, RequestId, Span};
+use balancer_core::{AttemptId, Outcome, RequestId, Span};
 use hyper::StatusCode;
 use pending::PendingRequests;
 use std::rc::Rc;
--- a/crates/balancer-agent/src/driver/requests/attempts.rs
+++ b/crates/balancer-agent/src/driver/requests/attempts.rs
@@ -1,20 +1,11 @@
 //! The attempts in flight.
 
 use crate::upstream::AttemptProgress;
-use balancer_core::{AttemptNumber, RequestId};
+use balancer_core::{AttemptId, AttemptNumber, RequestId};
 use std::collections::HashMap;
 use std::rc::Rc;
 use tokio::time::Instant;
 
-/// The identifier of an attempt among all attempts that the driver has sent.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct AttemptId {
-    /// The request that the attempt belongs to.
-    pub request: RequestId,
-    /// The number of the attempt among the attempts of the request.
-    pub attempt: AttemptNumber,
-}
-
 /// The progress of the attempts in flight. Attempts of closed requests are included, because the balancer
 /// needs their outcomes as well.
 #[derive(Default)]
--- a/crates/balancer-agent/src/driver/requests/pending.rs
+++ b/crates/balancer-agent/src/driver/requests/pending.rs
@@ -1,8 +1,7 @@
 //! The requests that still need a final response.
 
-use super::attempts::AttemptId;
 use crate::request::{ClientRequest, FinalResponse, SubmittedRequest};
-use balancer_core::{AttemptNumber, Outcome, RequestId};
+use balancer_core::{AttemptId, AttemptNumber, Outcome, RequestId};
 use std::collections::HashMap;
 use std::rc::Rc;
 use tokio::sync::oneshot;
--- a/crates/balancer-core/src/balancer.rs
+++ b/crates/balancer-core/src/balancer.rs
@@ -14,7 +14,7 @@
 use crate::policy::deadline::{ObjectiveTracker, Timeliness};
 use crate::policy::fleet::ServerRegistry;
 use crate::policy::latency::FleetLatency;
-use crate::policy::requests::{ActiveRequest, AttemptKey, AttemptsInFlight, EndedAttempt};
+use crate::policy::requests::{ActiveRequest, AttemptsInFlight, EndedAttempt};
 use crate::policy::retry::RetryBudget;
 use crate::policy::routing::Router;
 use crate::policy::server_load::{LoadPolling, LoadReports};
@@ -24,7 +24,7 @@
 use crate::policy::tick::TickSchedule;
 use crate::policy::wait_queue::WaitQueue;
 use crate::policy::watch::WatchRetry;
-use crate::{Action, DiscoveryMode, Event, RequestId, Settings, SettingsError, Time, TimerId};
+use crate::{Action, AttemptId, DiscoveryMode, Event, RequestId, Settings, SettingsError, Time, TimerId};
 use std::collections::BTreeMap;
 
 /// A balancer, which decides where, when and how often requests are sent.
@@ -105,8 +105,8 @@
             Event::Request(request) => self.handle_request(request),
             Event::FirstByte { request, attempt } => self.bind_to_stream(request, attempt),
             Event::AttemptEnded { request, attempt, outcome, elapsed, load_report, is_request_finished } => {
-                let key = AttemptKey { request, attempt };
-                self.end_attempt(&EndedAttempt { key, outcome, elapsed, load_report, is_request_finished });
+                let id = AttemptId { request, attempt };
+                self.end_attempt(&EndedAttempt { id, outcome, elapsed, load_report, is_request_finished });
             }
             Event::ClientDisconnected { request } => {
                 self.requests.remove(&request);
--- a/crates/balancer-core/src/balancer/health.rs
+++ b/crates/balancer-core/src/balancer/health.rs
@@ -5,10 +5,9 @@
 use crate::policy::fleet::{FleetView, ServerIndex};
 use crate::policy::outlier;
 use crate::policy::overdue::{mark_slow_attempts, OverdueSearch};
-use crate::policy::requests::AttemptKey;
 use crate::policy::retry::may_cancel_and_retry;
 use crate::policy::suspicion::receive_gossip;
-use crate::{Action, EjectionReason, LoadReport, Notice, Outcome, ServerId};
+use crate::{Action, AttemptId, EjectionReason, LoadReport, Notice, Outcome, ServerId};
 
 impl Balancer {
     /// Handles the end of a health check: records the load report if there is one, and otherwise ejects or
@@ -94,7 +93,7 @@
             self.eject_or_suspect(attempt.server, EjectionReason::Silent);
         }
         for attempt in overdue {
-            self.cancel_if_retriable(attempt.key);
+            self.cancel_if_retriable(attempt.id);
         }
     }
 
@@ -108,10 +107,10 @@
     }
 
     /// Cancels an overdue attempt if its request can be retried.
-    fn cancel_if_retriable(&mut self, key: AttemptKey) {
-        let Some(active) = self.requests.get(&key.request) else { return };
-        if may_cancel_and_retry(active, key, &self.retry_budget, &self.timeliness()) {
-            self.actions.push(Action::Cancel { request: key.request, attempt: key.attempt });
+    fn cancel_if_retriable(&mut self, id: AttemptId) {
+        let Some(active) = self.requests.get(&id.request) else { return };
+        if may_cancel_and_retry(active, id, &self.retry_budget, &self.timeliness()) {
+            self.actions.push(Action::Cancel { request: id.request, attempt: id.attempt });
         }
     }
 }
--- a/crates/balancer-core/src/balancer/requests.rs
+++ b/crates/balancer-core/src/balancer/requests.rs
@@ -61,20 +61,20 @@
     /// Handles the end of an attempt: records it, and retries or finishes the request if the request has no
     /// final response yet.
     pub(super) fn end_attempt(&mut self, ended: &EndedAttempt) {
-        let Some(attempt) = self.in_flight.remove(ended.key) else { return };
+        let Some(attempt) = self.in_flight.remove(ended.id) else { return };
         self.fleet[attempt.server].in_flight -= 1;
         if let Some(report) = &ended.load_report {
             self.record_load_report(attempt.server, report);
         }
         self.record_attempt_end(&attempt, ended);
         self.close_idle_connections(attempt.server);
-        let request = ended.key.request;
+        let request = ended.id.request;
         if ended.is_request_finished {
             self.requests.remove(&request);
         } else if let Some(active) = self.requests.get_mut(&request) {
             let has_not_run = ended.outcome.proves_not_run();
             let state = if has_not_run { AttemptState::DidNotRun } else { AttemptState::MayHaveRun };
-            active.attempts[ended.key.attempt.0 as usize].state = state;
+            active.attempts[ended.id.attempt.0 as usize].state = state;
             self.retry_or_finish(request, ended.outcome);
         }
         self.drain_queue();
--- a/crates/balancer-core/src/balancer/sending.rs
+++ b/crates/balancer-core/src/balancer/sending.rs
@@ -2,10 +2,10 @@
 
 use super::Balancer;
 use crate::policy::fleet::ServerIndex;
-use crate::policy::requests::{ActiveRequest, Attempt, AttemptKey, AttemptState, InFlightAttempt};
+use crate::policy::requests::{ActiveRequest, Attempt, AttemptState, InFlightAttempt};
 use crate::policy::routing::{Router, RoutingContext, RoutingRequest};
 use crate::policy::slow_start::capacity_share;
-use crate::{Action, AttemptNumber, RequestId};
+use crate::{Action, AttemptId, AttemptNumber, RequestId};
 use std::collections::BTreeMap;
 
 /// The [`Router`], together with everything that its decisions depend on.
@@ -109,7 +109,7 @@
             is_probe,
             is_counted_slow: false,
         };
-        self.in_flight.insert(AttemptKey { request: request.id, attempt }, in_flight);
+        self.in_flight.insert(AttemptId { request: request.id, attempt }, in_flight);
         self.actions.push(Action::Send {
             request: request.id,
             server: server.endpoint.server,
--- a/crates/balancer-core/src/ids.rs
+++ b/crates/balancer-core/src/ids.rs
@@ -36,6 +36,15 @@
     PeerId(u32),
 }
 
+/// The id of an attempt: its request, and its number among the attempts of the request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptId {
+    /// The request that the attempt belongs to.
+    pub request: RequestId,
+    /// The number of the attempt among those of the request.
+    pub attempt: AttemptNumber,
+}
+
 /// A timer of the balancer, in [`Action::SetTimer`](crate::Action::SetTimer) and in
 /// [`Event::TimerDue`](crate::Event::TimerDue).
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/balancer-core/src/lib.rs
+++ b/crates/balancer-core/src/lib.rs
@@ -47,8 +47,8 @@
 pub use endpoint::{Endpoint, EndpointStatus, EndpointUpdate};
 pub use event::{Action, Event, LoadReport, Outcome, Request};
 pub use ids::{
-    AttemptNumber, CellId, ClassId, MachineKindId, PeerId, RequestId, RoutingKey, ServerId, TenantId,
-    TimerId, ZoneId,
+    AttemptId, AttemptNumber, CellId, ClassId, MachineKindId, PeerId, RequestId, RoutingKey, ServerId,
+    TenantId, TimerId, ZoneId,
 };
 pub use notice::{EjectionReason, Notice};
 pub use settings::{
--- a/crates/balancer-core/src/policy/overdue.rs
+++ b/crates/balancer-core/src/policy/overdue.rs
@@ -4,8 +4,8 @@
 use super::concurrency::TARGET_RATIO;
 use super::fleet::{ServerIndex, ServerRegistry};
 use super::latency::FleetLatency;
-use super::requests::{ActiveRequest, AttemptKey, AttemptsInFlight, InFlightAttempt};
-use crate::{RequestId, Settings, Span, Time};
+use super::requests::{ActiveRequest, AttemptsInFlight, InFlightAttempt};
+use crate::{AttemptId, RequestId, Settings, Span, Time};
 use std::collections::BTreeMap;
 
 /// Multiple of its expected latency after which an attempt is overdue.
@@ -18,8 +18,8 @@
 
 /// An attempt that should have got a response by now.
 pub struct OverdueAttempt {
-    /// The key of the attempt.
-    pub key: AttemptKey,
+    /// The id of the attempt.
+    pub id: AttemptId,
     /// The server that the attempt was sent to.
     pub server: ServerIndex,
     /// Whether the server has not responded in any way since the attempt was sent.
@@ -47,16 +47,16 @@
     /// Overdue attempts on a server that is slow for all requests are left out, because they may still be
     /// queued there.
     pub fn find(&self, in_flight: &AttemptsInFlight) -> Vec<OverdueAttempt> {
-        in_flight.iter().filter_map(|(key, attempt)| self.check(key, attempt)).collect()
+        in_flight.iter().filter_map(|(id, attempt)| self.check(id, attempt)).collect()
     }
 
     /// Returns the attempt if it is overdue and its server is silent or responds quickly to other requests.
-    fn check(&self, key: AttemptKey, attempt: &InFlightAttempt) -> Option<OverdueAttempt> {
+    fn check(&self, id: AttemptId, attempt: &InFlightAttempt) -> Option<OverdueAttempt> {
         let server = &self.fleet[attempt.server];
-        let is_overdue = self.now.since(attempt.sent_at) > self.max_time(key, attempt);
+        let is_overdue = self.now.since(attempt.sent_at) > self.max_time(id, attempt);
         let is_server_silent = server.health.is_silent_since(attempt.sent_at);
         let is_server_quick = server.latency.ratio() < TARGET_RATIO;
-        let found = OverdueAttempt { key, server: attempt.server, is_server_silent };
+        let found = OverdueAttempt { id, server: attempt.server, is_server_silent };
         (is_overdue && (is_server_silent || is_server_quick)).then_some(found)
     }
 
@@ -65,11 +65,11 @@
     ///
     /// The expected latency is the highest of the typical latency of the class, the median latency of the
     /// fleet, and the estimated work of the request.
-    fn max_time(&self, key: AttemptKey, attempt: &InFlightAttempt) -> Span {
+    fn max_time(&self, id: AttemptId, attempt: &InFlightAttempt) -> Span {
         let objective = self.settings.class(attempt.class).latency_objective;
         let is_alone = self.fleet[attempt.server].in_flight <= 1;
         let min_fraction = if is_alone { MIN_OVERDUE_FRACTION_ALONE } else { MIN_OVERDUE_FRACTION };
-        let work_ms = self.estimated_work_ms(key.request);
+        let work_ms = self.estimated_work_ms(id.request);
         let typical_ratio = self.latency.typical_ratio(attempt.class).value();
         let median_ratio = self.latency.median_ratio().value();
         let expected_ratio = typical_ratio.max(median_ratio).max(work_ms / objective.as_millis_f64());
--- a/crates/balancer-core/src/policy/overdue/tests.rs
+++ b/crates/balancer-core/src/policy/overdue/tests.rs
@@ -24,8 +24,8 @@
         let server = fleet.find(ServerId(1)).expect("the server is listed");
         fleet[server].in_flight = count as u32;
         let mut in_flight = AttemptsInFlight::default();
-        for id in 0..count {
-            let key = AttemptKey { request: RequestId(id), attempt: AttemptNumber(0) };
+        for number in 0..count {
+            let id = AttemptId { request: RequestId(number), attempt: AttemptNumber(0) };
             let attempt = InFlightAttempt {
                 server,
                 class: CLASS,
@@ -33,7 +33,7 @@
                 is_probe: false,
                 is_counted_slow: false,
             };
-            in_flight.insert(key, attempt);
+            in_flight.insert(id, attempt);
         }
         Scenario { settings, fleet, server, in_flight }
     }
--- a/crates/balancer-core/src/policy/requests.rs
+++ b/crates/balancer-core/src/policy/requests.rs
@@ -4,4 +4,4 @@
 mod attempts_in_flight;
 
 pub use active_request::{ActiveRequest, Attempt, AttemptState};
-pub use attempts_in_flight::{AttemptKey, AttemptsInFlight, EndedAttempt, InFlightAttempt};
+pub use attempts_in_flight::{AttemptsInFlight, EndedAttempt, InFlightAttempt};
--- a/crates/balancer-core/src/policy/requests/attempts_in_flight.rs
+++ b/crates/balancer-core/src/policy/requests/attempts_in_flight.rs
@@ -1,18 +1,9 @@
 //! Attempts that have not ended, and the results of those that have.
 
 use crate::policy::fleet::ServerIndex;
-use crate::{AttemptNumber, ClassId, LoadReport, Outcome, RequestId, Span, Time};
+use crate::{AttemptId, ClassId, LoadReport, Outcome, Span, Time};
 use std::collections::BTreeMap;
 
-/// The identity of an attempt: its request and its number.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct AttemptKey {
-    /// The request that the attempt belongs to.
-    pub request: RequestId,
-    /// The number of the attempt among those of the request.
-    pub attempt: AttemptNumber,
-}
-
 /// An attempt that has not ended. The attempt is kept even if its request gets its final response first.
 pub struct InFlightAttempt {
     /// The server that the attempt was sent to.
@@ -29,8 +20,8 @@
 
 /// The result of an attempt that has ended.
 pub struct EndedAttempt {
-    /// The key of the attempt.
-    pub key: AttemptKey,
+    /// The id of the attempt.
+    pub id: AttemptId,
     /// The outcome of the attempt.
     pub outcome: Outcome,
     /// The time from the sending of the attempt to its end.
@@ -44,7 +35,7 @@
 /// The attempts that have not ended, ordered by request and attempt number.
 #[derive(Default)]
 pub struct AttemptsInFlight {
-    attempts: BTreeMap<AttemptKey, InFlightAttempt>,
+    attempts: BTreeMap<AttemptId, InFlightAttempt>,
 }
 
 impl AttemptsInFlight {
@@ -54,18 +45,18 @@
     }
 
     /// Adds an attempt.
-    pub fn insert(&mut self, key: AttemptKey, attempt: InFlightAttempt) {
-        self.attempts.insert(key, attempt);
+    pub fn insert(&mut self, id: AttemptId, attempt: InFlightAttempt) {
+        self.attempts.insert(id, attempt);
     }
 
-    /// Removes and returns an attempt that has ended, or returns `None` if there is no attempt with this key.
-    pub fn remove(&mut self, key: AttemptKey) -> Option<InFlightAttempt> {
-        self.attempts.remove(&key)
+    /// Removes and returns an attempt that has ended, or returns `None` if there is no attempt with this id.
+    pub fn remove(&mut self, id: AttemptId) -> Option<InFlightAttempt> {
+        self.attempts.remove(&id)
     }
 
     /// Returns all attempts with their keys, in the order of the keys.
-    pub fn iter(&self) -> impl Iterator<Item = (AttemptKey, &InFlightAttempt)> {
-        self.attempts.iter().map(|(&key, attempt)| (key, attempt))
+    pub fn iter(&self) -> impl Iterator<Item = (AttemptId, &InFlightAttempt)> {
+        self.attempts.iter().map(|(&id, attempt)| (id, attempt))
     }
 
     /// Returns all attempts for modification, in the order of their keys.
--- a/crates/balancer-core/src/policy/retry/decision.rs
+++ b/crates/balancer-core/src/policy/retry/decision.rs
@@ -3,8 +3,8 @@
 use super::budget::RetryBudget;
 use super::permission::{AttemptPermission, RetryScope};
 use crate::policy::deadline::Timeliness;
-use crate::policy::requests::{ActiveRequest, AttemptKey};
-use crate::{Effect, Outcome};
+use crate::policy::requests::ActiveRequest;
+use crate::{AttemptId, Effect, Outcome};
 
 /// Returns whether a request is retried after its last attempt ended with `outcome` and without a final
 /// response.
@@ -33,7 +33,7 @@
 /// when the cancelled attempt has ended.
 pub fn may_cancel_and_retry(
     active: &ActiveRequest,
-    attempt: AttemptKey,
+    attempt: AttemptId,
     budget: &RetryBudget,
     timeliness: &Timeliness<'_>,
 ) -> bool {
