--- a/crates/balancer-agent/src/discovery/tests.rs
+++ b/crates/balancer-agent/src/discovery/tests.rs
@@ -242,6 +242,25 @@
     LocalSet::new().run_until(test).await;
 }
 
+/// Guards against an endpoint list that is never updated again after the watch's task has panicked.
+#[tokio::test(start_paused = true)]
+async fn a_watch_whose_task_has_ended_is_started_anew() {
+    let test = async {
+        let (discovery, address) = TestDiscovery::start(Responses::Never).await;
+        let handler = TestHandler::start_watch(moved_discovery(address));
+        sleep(Duration::from_secs(1)).await;
+        handler.discovery.borrow().watch.as_ref().expect("a watch").task.abort();
+        sleep(Duration::from_secs(1)).await;
+        assert_eq!(discovery.open_connections.get(), 0, "the watch has ended");
+
+        handler.set_address(address);
+        sleep(Duration::from_secs(1)).await;
+
+        assert_eq!(discovery.open_connections.get(), 1);
+    };
+    LocalSet::new().run_until(test).await;
+}
+
 /// Guards against a response that is never awaited because configurations with the same address follow each
 /// other faster than discovery responds.
 #[tokio::test(start_paused = true)]
