A log line that cannot be written neither ends nor delays the agent

Callers saw: with standard error on a full disk or on a pipe whose reader has gone the agent ended with 101 at its first line; with 3,200 known servers and a pipe that is not read it never became ready.

Cause: eprintln! panics when the write fails and waits when the pipe is full, and the agent has one thread.

Change: lines go through logging.rs, which polls standard error before each write, keeps up to 64 KiB of lines that would block, drops lines whose write fails, and reports how many were dropped. Panic messages take the same way.

The check of log lines now looks for log_line! as well as eprintln!.

--- a/.ci/log_lines_test.py
+++ b/.ci/log_lines_test.py
@@ -14,7 +14,7 @@
 SOURCE = '''
 #[error("cannot open {path}: {cause}")]
 eprintln!("{name}: opened the connection");
-eprintln!(
+log_line!(
     "{name}: closed the connection");
 let text = format!("an internal text");
 '''
--- a/crates/balancer-agent/src/driver.rs
+++ b/crates/balancer-agent/src/driver.rs
@@ -16,6 +16,7 @@
 use crate::config::Config;
 use crate::discovery::{WatchEvent, WatchHandler};
 use crate::endpoint_list::EndpointList;
+use crate::logging::{self, log_line};
 use crate::request::{ClientRequest, SubmittedRequest};
 use crate::upstream::{AttemptResult, ConnectionPool, PoolLimits, ServerClient};
 use balancer_core::{
@@ -36,8 +37,9 @@
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 
-/// The interval at which connections that have been idle for too long are closed.
-const CLOSE_STALE_INTERVAL: Duration = Duration::from_millis(500);
+/// The interval at which connections that have been idle for too long are closed and waiting log lines are
+/// written.
+const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(500);
 
 /// A running balancer, with the connections, timers and requests that its actions refer to.
 pub struct Driver {
@@ -143,17 +145,18 @@
         self.endpoint_watch.borrow_mut().set_discovery_address(address, self.clone());
     }
 
-    /// Passes due timers to the balancer and closes connections that have been idle for too long. Never
-    /// returns.
+    /// Passes due timers to the balancer, closes connections that have been idle for too long, and writes the
+    /// log lines that wait. Never returns.
     pub async fn run(self: Rc<Self>) {
-        let mut next_close = Instant::now() + CLOSE_STALE_INTERVAL;
+        let mut next_maintenance = Instant::now() + MAINTENANCE_INTERVAL;
         loop {
-            self.timers.wait(&self.clock, next_close).await;
+            self.timers.wait(&self.clock, next_maintenance).await;
             self.queue_due_timers();
             self.handle_events();
-            if Instant::now() >= next_close {
+            if Instant::now() >= next_maintenance {
                 self.client.pool().close_stale();
-                next_close = Instant::now() + CLOSE_STALE_INTERVAL;
+                logging::write_pending_lines();
+                next_maintenance = Instant::now() + MAINTENANCE_INTERVAL;
             }
         }
     }
@@ -254,7 +257,7 @@
 
     fn log_notice(&self, notice: &Notice) {
         let endpoint_watch = self.endpoint_watch.borrow();
-        eprintln!("{}", format_notice(notice, endpoint_watch.server_names()));
+        log_line!("{}", format_notice(notice, endpoint_watch.server_names()));
     }
 
     /// Applies a received endpoint list to the server names and the connection pool, and returns the entries
--- a/crates/balancer-agent/src/driver/endpoint_watch/server_names.rs
+++ b/crates/balancer-agent/src/driver/endpoint_watch/server_names.rs
@@ -1,6 +1,7 @@
 //! The names and ids of the servers in the endpoint list and of recently removed servers.
 
 use super::server_list::ServerList;
+use crate::logging::log_line;
 use balancer_core::{EndpointStatus, ServerId};
 use balancer_settings::ServerNames;
 use std::collections::HashMap;
@@ -30,7 +31,7 @@
             return server;
         }
         let server = self.names.intern(&Rc::from(name));
-        eprintln!("server {} is {name}", server.0);
+        log_line!("server {} is {name}", server.0);
         server
     }
 
--- a/crates/balancer-agent/src/main.rs
+++ b/crates/balancer-agent/src/main.rs
@@ -12,6 +12,7 @@
 mod headers;
 mod http_client;
 mod listener;
+mod logging;
 mod request;
 mod upstream;
 
@@ -19,6 +20,7 @@
 use config::{Config, ConfigError};
 use driver::Driver;
 use listener::Listener;
+use logging::log_line;
 use std::io;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -71,13 +73,16 @@
 }
 
 fn main() -> ExitCode {
-    match run() {
+    logging::log_panics();
+    let exit_code = match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("balancer-agent: {error}");
+            log_line!("balancer-agent: {error}");
             ExitCode::from(EXIT_FAILURE)
         }
-    }
+    };
+    logging::write_pending_lines();
+    exit_code
 }
 
 /// Returns the value of an environment variable, or `None` if it is not set or is not valid Unicode.
@@ -108,7 +113,7 @@
     let mut driver_task = tokio::task::spawn_local(driver.clone().run());
     let listener = Listener::new(driver.clone(), limits.clients, longest_timeout);
     let accept_task = tokio::task::spawn_local(listener.clone().accept(socket));
-    eprintln!("{name}: listening on {bound_address}");
+    log_line!("{name}: listening on {bound_address}");
 
     tokio::task::spawn_local(reload_on_hangup(hangup, driver, name.clone()));
     tokio::select! {
@@ -118,7 +123,7 @@
         _ = &mut driver_task => return Err(AgentError::DriverStopped),
     }
     listener.shut_down(accept_task).await;
-    eprintln!("{name}: all requests are answered");
+    log_line!("{name}: all requests are answered");
     Ok(())
 }
 
@@ -139,10 +144,10 @@
     while hangup.recv().await.is_some() {
         match config::read_discovery_address(environment_variable) {
             Ok(address) => {
-                eprintln!("{name}: SIGHUP: discovery is now at {address}");
+                log_line!("{name}: SIGHUP: discovery is now at {address}");
                 driver.set_discovery_address(address);
             }
-            Err(error) => eprintln!("{name}: SIGHUP: {error}; the configuration is unchanged"),
+            Err(error) => log_line!("{name}: SIGHUP: {error}; the configuration is unchanged"),
         }
     }
 }
