A timeout within the target latency is no sign of overload in a sparse view

Callers saw: beside one client that pipelines sound requests whose X-Timeout is just below what a response takes, an idle fleet rejected the requests of other clients.

Cause: every attempt that timed out counted as late, whatever time its client had given it. A client whose timeouts are shorter than the usual latency makes each of its attempts time out, and admission control of a balancer among many (the sparse view) closes.

Change: in a sparse view an attempt that timed out at a latency at which a success would still be within the target shows nothing about the load.

--- a/crates/balancer-core/src/balancer/feedback.rs
+++ b/crates/balancer-core/src/balancer/feedback.rs
@@ -16,7 +16,9 @@
     /// If the attempt was a probe, decides whether the ejection of its server ends. Otherwise, ejects or
     /// suspects the server if it is an outlier.
     pub(super) fn record_attempt_end(&mut self, attempt: &InFlightAttempt, ended: &EndedAttempt) {
-        let ratio = observed_ratio(&self.settings, &self.fleet[attempt.server], attempt, ended);
+        let server = &self.fleet[attempt.server];
+        let view = self.fleet.view();
+        let ratio = observed_ratio(&self.settings, server, attempt, ended, view);
         let shows_load = ratio > UNINFORMATIVE_RATIO;
         if shows_load && !attempt.is_counted_slow {
             self.admission.record(ratio, self.in_flight.len());
--- a/crates/balancer-core/src/policy/feedback.rs
+++ b/crates/balancer-core/src/policy/feedback.rs
@@ -1,7 +1,7 @@
 //! What the end of an attempt shows about the load of its server.
 
 use super::concurrency::{LATE_RATIO, TARGET_RATIO};
-use super::fleet::ServerState;
+use super::fleet::{FleetView, ServerState};
 use super::requests::{EndedAttempt, InFlightAttempt};
 use crate::units::LatencyRatio;
 use crate::{Outcome, Settings};
@@ -16,18 +16,24 @@
 /// - An attempt that timed out or was cancelled counts as late, because it may still be queued at the server.
 ///   If the server responded quickly to other requests in the meantime, only the connection of the attempt
 ///   was lost, and the attempt shows nothing about the load (docs/findings/lost-answers.md).
+/// - In a sparse view, an attempt that timed out within the target shows nothing about the load: its client
+///   gave it too little time. In a dense view such an attempt counts as late, but only lowers the limit of
+///   its server.
 /// - An error, a failed or broken connection, or an attempt that was never sent shows nothing about the load.
 pub fn observed_ratio(
     settings: &Settings,
     server: &ServerState,
     attempt: &InFlightAttempt,
     ended: &EndedAttempt,
+    view: FleetView,
 ) -> LatencyRatio {
+    let objective = settings.class(attempt.class).latency_objective;
+    let elapsed_ratio = LatencyRatio::new(ended.elapsed.as_millis_f64() / objective.as_millis_f64());
     match ended.outcome {
-        Outcome::Success => {
-            let objective = settings.class(attempt.class).latency_objective;
-            let ratio = ended.elapsed.as_millis_f64() / objective.as_millis_f64();
-            LatencyRatio::new(ratio.min(LATE_RATIO.value()))
+        Outcome::Success if elapsed_ratio > LATE_RATIO => LATE_RATIO,
+        Outcome::Success => elapsed_ratio,
+        Outcome::TimedOut if view == FleetView::Sparse && elapsed_ratio <= TARGET_RATIO => {
+            UNINFORMATIVE_RATIO
         }
         Outcome::TimedOut | Outcome::Cancelled if is_connection_lost(server, attempt) => UNINFORMATIVE_RATIO,
         Outcome::TimedOut | Outcome::Rejected | Outcome::Cancelled => LATE_RATIO,
@@ -43,3 +49,6 @@
 fn is_connection_lost(server: &ServerState, attempt: &InFlightAttempt) -> bool {
     server.health.has_responded_after(attempt.sent_at) && server.latency.ratio() < TARGET_RATIO
 }
+
+#[cfg(test)]
+mod tests;
