A response that is still arriving is not cut off as overdue

Callers saw: a server that wrote 64 KiB in parts over 1.6 s was cut off after the latency objective of 500 ms, the request was attempted again, and its client got 429 at 0.5 or 1.9 s.

Cause: an attempt without a complete response after a multiple of its expected latency counts as overdue, is cancelled and retried, and its server is ejected as silent, whether or not the response is arriving. The balancer was told of an attempt only when it ended.

Change: the agent reports the progress of responses (Event::ResponseProgress) before each tick. A response that has begun is overdue only after a pause of half the class timeout, and its server is not silent.

The event is new, so its tests (an_attempt_whose_response_is_arriving_slowly_is_not_overdue, a_response_that_arrives_slowly_is_neither_cancelled_nor_a_reason_to_eject_its_server, each_part_of_a_response_is_recorded_as_progress) do not compile on the old code; without the change in overdue.rs the first two fail.

--- a/crates/balancer-agent/src/driver.rs
+++ b/crates/balancer-agent/src/driver.rs
@@ -161,9 +161,15 @@
         }
     }
 
+    /// Queues the due timers. The progress of responses comes before them, because the balancer looks for
+    /// overdue attempts when a timer is due.
     fn queue_due_timers(&self) {
         let now = self.clock.now();
+        let progressed = self.requests.borrow().take_response_progress();
         let mut events = self.events.borrow_mut();
+        for AttemptId { request, attempt } in progressed {
+            events.push(Event::ResponseProgress { request, attempt });
+        }
         while let Some(timer) = self.timers.pop_due(now) {
             events.push(Event::TimerDue(timer));
         }
--- a/crates/balancer-agent/src/driver/requests.rs
+++ b/crates/balancer-agent/src/driver/requests.rs
@@ -78,6 +78,11 @@
         self.attempts.cancel(id);
     }
 
+    /// Returns the attempts whose responses have made progress since the last call.
+    pub fn take_response_progress(&self) -> Vec<AttemptId> {
+        self.attempts.take_response_progress()
+    }
+
     /// Records the end of an attempt. The first successful response of a server becomes the final response to
     /// the request.
     pub fn end_attempt(&mut self, id: AttemptId, outcome: Outcome, response: Option<ServedResponse>) {
--- a/crates/balancer-agent/src/driver/requests/attempts.rs
+++ b/crates/balancer-agent/src/driver/requests/attempts.rs
@@ -41,6 +41,12 @@
         }
     }
 
+    /// Returns the attempts whose responses have made progress since the last call.
+    pub fn take_response_progress(&self) -> Vec<AttemptId> {
+        let progressed = self.progress.iter().filter(|(_, progress)| progress.take_response_progress());
+        progressed.map(|(id, _)| *id).collect()
+    }
+
     /// Removes an attempt that has ended.
     pub fn end(&mut self, id: AttemptId) {
         self.progress.remove(&id);
--- a/crates/balancer-agent/src/upstream/attempt.rs
+++ b/crates/balancer-agent/src/upstream/attempt.rs
@@ -16,6 +16,8 @@
     /// The state of the write to the connection; `None` until a connection has been acquired.
     request_write: RefCell<Option<RequestWrite>>,
     is_cancelled: Cell<bool>,
+    /// Whether a part of the response has arrived since [`AttemptProgress::take_response_progress`] was called.
+    has_response_progress: Cell<bool>,
     /// The notification that the attempt has been cancelled.
     cancelled: Notify,
 }
@@ -39,6 +41,16 @@
         self.request_write.borrow().as_ref().is_some_and(RequestWrite::may_be_complete)
     }
 
+    /// Records that a part of the response has arrived.
+    pub fn record_response_progress(&self) {
+        self.has_response_progress.set(true);
+    }
+
+    /// Returns whether a part of the response has arrived since the last call.
+    pub fn take_response_progress(&self) -> bool {
+        self.has_response_progress.take()
+    }
+
     /// Cancels the attempt. Bytes that have not been written are never written.
     pub fn cancel(&self) {
         self.is_cancelled.set(true);
--- a/crates/balancer-agent/src/upstream/client.rs
+++ b/crates/balancer-agent/src/upstream/client.rs
@@ -7,7 +7,7 @@
 use super::{MAX_BODY_BYTES, MAX_HEAD_BYTES};
 use crate::request::ServedResponse;
 use balancer_core::{Outcome, ServerId};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
@@ -95,7 +95,8 @@
         }
         let request_write = RequestWrite::new(&request, connection.socket_state());
         progress.start_writing(request_write.clone());
-        self.exchange(connection, request, &request_write).await
+        let on_response_part = || progress.record_response_progress();
+        self.exchange(connection, request, &request_write, on_response_part).await
     }
 
     /// Sends a health check to a server. If servers send load reports, the check requests one.
@@ -117,20 +118,22 @@
         let request = Request::get(path).header("host", "backend").body(Full::default());
         let request = request.map_err(|_| Outcome::NotSent)?;
         let request_write = RequestWrite::new(&request, connection.socket_state());
-        let result = self.exchange(connection, request, &request_write).await;
+        let result = self.exchange(connection, request, &request_write, || ()).await;
         result.map_err(|ExchangeError| Outcome::ConnectionReset)
     }
 
     /// Sends a request over a connection and reads the response. The body is read only if the whole request
-    /// has been written.
+    /// has been written. Calls `on_response_part` for each part of the response that arrives.
     async fn exchange(
         &self,
         mut connection: Connection,
         request: Request<Full<Bytes>>,
         request_write: &RequestWrite,
+        on_response_part: impl Fn(),
     ) -> Result<AttemptResult, ExchangeError> {
         connection.socket_state().allow_reading(MAX_RESPONSE_BYTES);
         let response = connection.send_request(request).await.map_err(|_| ExchangeError)?;
+        on_response_part();
         let outcome = outcome_of(&response);
         let load_report = load_report_of(&response, &self.load_report_fields);
         if !request_write.may_be_complete() {
@@ -144,7 +147,7 @@
             return Ok(AttemptResult { outcome, load_report, response: None });
         }
         let body_end = body_end_of(&response).ok_or(ExchangeError)?;
-        let response = read_response(response).await?;
+        let response = read_response(response, on_response_part).await?;
         // The end of the connection ends a body only if it is orderly. The bodies of other responses are not
         // used, so it does not matter whether they are truncated.
         let must_end_orderly = outcome == Outcome::Success && body_end == BodyEnd::Connection;
@@ -178,12 +181,22 @@
     }
 }
 
-/// Reads the body of a response. Returns an error if the body is truncated or exceeds [`MAX_BODY_BYTES`].
-async fn read_response(response: Response<Incoming>) -> Result<ServedResponse, ExchangeError> {
+/// Reads the body of a response, and calls `on_part` for each part of it that arrives. Returns an error if the
+/// body is truncated or exceeds [`MAX_BODY_BYTES`].
+async fn read_response(
+    response: Response<Incoming>,
+    on_part: impl Fn(),
+) -> Result<ServedResponse, ExchangeError> {
     let content_type = response.headers().get(CONTENT_TYPE).cloned();
-    let body = Limited::new(response.into_body(), MAX_BODY_BYTES).collect().await;
-    let body = body.map_err(|_| ExchangeError)?.to_bytes();
-    Ok(ServedResponse { content_type, body })
+    let mut incoming = Limited::new(response.into_body(), MAX_BODY_BYTES);
+    let mut body = BytesMut::new();
+    while let Some(frame) = incoming.frame().await {
+        on_part();
+        if let Ok(data) = frame.map_err(|_| ExchangeError)?.into_data() {
+            body.extend_from_slice(&data);
+        }
+    }
+    Ok(ServedResponse { content_type, body: body.freeze() })
 }
 
 #[cfg(test)]
--- a/crates/balancer-agent/src/upstream/client/tests.rs
+++ b/crates/balancer-agent/src/upstream/client/tests.rs
@@ -82,6 +82,36 @@
     LocalSet::new().run_until(test).await;
 }
 
+/// Guards against a slow response whose attempt counts as overdue: each part of it, the head included, must be
+/// visible to the driver.
+#[tokio::test(start_paused = true)]
+async fn each_part_of_a_response_is_recorded_as_progress() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let client = client_of(&listener);
+    let progress = AttemptProgress::new(None);
+    let server = async {
+        assert!(!progress.take_response_progress(), "nothing has arrived");
+        let mut stream = accept_and_write(&listener, b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n").await;
+        for part in [b"", b"o".as_slice(), b"k"] {
+            stream.write_all(part).await.expect("the part is written");
+            while !progress.take_response_progress() {
+                tokio::task::yield_now().await;
+            }
+        }
+        stream
+    };
+    let request = Request::get("/").body(Full::default()).expect("a request");
+    let test = async {
+        let deadline = Instant::now() + LONG_TIMEOUT;
+        let sent = client.send_attempt(SERVER, request, deadline, &progress);
+        timeout(CONNECT_TIMEOUT, async { tokio::join!(sent, server) }).await
+    };
+
+    let (result, _stream) = LocalSet::new().run_until(test).await.expect("progress for each part");
+
+    assert_eq!(result.outcome, Outcome::Success);
+}
+
 /// Guards against a truncated body that is served as complete, and against a complete one that is lost. The
 /// agent has read the whole body by the time at which the connection ends in either way.
 #[tokio::test(start_paused = true)]
--- a/crates/balancer-core/src/balancer.rs
+++ b/crates/balancer-core/src/balancer.rs
@@ -104,6 +104,9 @@
         match event {
             Event::Request(request) => self.handle_request(request),
             Event::FirstByte { request, attempt } => self.bind_to_stream(request, attempt),
+            Event::ResponseProgress { request, attempt } => {
+                self.record_response_progress(AttemptId { request, attempt });
+            }
             Event::AttemptEnded { request, attempt, outcome, elapsed, load_report, is_request_finished } => {
                 let id = AttemptId { request, attempt };
                 self.end_attempt(&EndedAttempt { id, outcome, elapsed, load_report, is_request_finished });
--- a/crates/balancer-core/src/balancer/feedback.rs
+++ b/crates/balancer-core/src/balancer/feedback.rs
@@ -8,9 +8,16 @@
 use crate::policy::requests::{EndedAttempt, InFlightAttempt};
 use crate::policy::slow_start::capacity_share;
 use crate::units::LatencyRatio;
-use crate::Outcome;
+use crate::{AttemptId, Outcome};
 
 impl Balancer {
+    /// Records that a part of the response to an attempt has arrived.
+    pub(super) fn record_response_progress(&mut self, id: AttemptId) {
+        let Some(attempt) = self.in_flight.get_mut(id) else { return };
+        attempt.response_progress_at = Some(self.now);
+        self.fleet[attempt.server].health.record_response_progress(self.now);
+    }
+
     /// Records the outcome and latency of an ended attempt in all components that use them.
     ///
     /// If the attempt was a probe, decides whether the ejection of its server ends. Otherwise, ejects or
--- a/crates/balancer-core/src/balancer/sending.rs
+++ b/crates/balancer-core/src/balancer/sending.rs
@@ -106,6 +106,7 @@
             server: index,
             class: request.class,
             sent_at: self.now,
+            response_progress_at: None,
             is_probe,
             is_counted_slow: false,
         };
--- a/crates/balancer-core/src/event.rs
+++ b/crates/balancer-core/src/event.rs
@@ -103,6 +103,14 @@
         /// The number of the attempt whose response has begun.
         attempt: AttemptNumber,
     },
+    /// A part of the response to an attempt has arrived. Any attempt may still supply the response to the
+    /// request. Hosts that do not see the parts of a response need not send this event.
+    ResponseProgress {
+        /// The id of the request.
+        request: RequestId,
+        /// The number of the attempt whose response is arriving.
+        attempt: AttemptNumber,
+    },
     /// An attempt has ended.
     AttemptEnded {
         /// The id of the request.
--- a/crates/balancer-core/src/policy/feedback/tests.rs
+++ b/crates/balancer-core/src/policy/feedback/tests.rs
@@ -17,6 +17,7 @@
         server,
         class: ClassId(0),
         sent_at: SENT_AT,
+        response_progress_at: None,
         is_probe: false,
         is_counted_slow: false,
     };
--- a/crates/balancer-core/src/policy/outlier/health.rs
+++ b/crates/balancer-core/src/policy/outlier/health.rs
@@ -46,6 +46,11 @@
         }
     }
 
+    /// Records that a part of a response has arrived.
+    pub fn record_response_progress(&mut self, now: Time) {
+        self.last_response_at = now;
+    }
+
     /// Returns the number of failures since the last success or the end of the last ejection.
     pub fn consecutive_failures(&self) -> u32 {
         self.consecutive_failures
--- a/crates/balancer-core/src/policy/overdue.rs
+++ b/crates/balancer-core/src/policy/overdue.rs
@@ -15,6 +15,9 @@
 /// Fraction that replaces [`MIN_OVERDUE_FRACTION`] for an attempt that is alone on its server. Such an
 /// attempt may well be for a costly request.
 const MIN_OVERDUE_FRACTION_ALONE: f64 = 1.0;
+/// Fraction of the class timeout for which a response that has begun may pause before its attempt is overdue.
+/// Its server has done the work, so a retry would cost more than the rest of a slow response.
+const MAX_RESPONSE_PAUSE_FRACTION: f64 = 0.5;
 
 /// An attempt that should have got a response by now.
 pub struct OverdueAttempt {
@@ -53,7 +56,10 @@
     /// Returns the attempt if it is overdue and its server is silent or responds quickly to other requests.
     fn check(&self, id: AttemptId, attempt: &InFlightAttempt) -> Option<OverdueAttempt> {
         let server = &self.fleet[attempt.server];
-        let is_overdue = self.now.since(attempt.sent_at) > self.max_time(id, attempt);
+        let is_overdue = match attempt.response_progress_at {
+            Some(progress_at) => self.now.since(progress_at) > self.max_response_pause(attempt),
+            None => self.now.since(attempt.sent_at) > self.max_time(id, attempt),
+        };
         let is_server_silent = server.health.is_silent_since(attempt.sent_at);
         let is_server_quick = server.latency.ratio() < TARGET_RATIO;
         let found = OverdueAttempt { id, server: attempt.server, is_server_silent };
@@ -76,6 +82,11 @@
         objective * (OVERDUE_FACTOR * expected_ratio).max(min_fraction)
     }
 
+    /// Returns how long a response that has begun may pause before its attempt is overdue.
+    fn max_response_pause(&self, attempt: &InFlightAttempt) -> Span {
+        self.settings.class(attempt.class).timeout * MAX_RESPONSE_PAUSE_FRACTION
+    }
+
     /// Returns the estimated work of the request, or zero if the request has already had its final response.
     fn estimated_work_ms(&self, request: RequestId) -> f64 {
         let active = self.requests.get(&request);
--- a/crates/balancer-core/src/policy/overdue/tests.rs
+++ b/crates/balancer-core/src/policy/overdue/tests.rs
@@ -17,7 +17,11 @@
 
 impl Scenario {
     fn with_attempts(count: u64) -> Self {
-        let class = RequestClass { latency_objective: Span::from_millis(100), ..RequestClass::default() };
+        let class = RequestClass {
+            latency_objective: Span::from_millis(100),
+            timeout: Span::from_millis(400),
+            ..RequestClass::default()
+        };
         let settings = Settings { classes: vec![class], ..Settings::default() };
         let mut fleet = ServerRegistry::new();
         fleet.update(START, vec![Endpoint::serving(ServerId(1))], true);
@@ -30,6 +34,7 @@
                 server,
                 class: CLASS,
                 sent_at: START,
+                response_progress_at: None,
                 is_probe: false,
                 is_counted_slow: false,
             };
@@ -38,6 +43,13 @@
         Scenario { settings, fleet, server, in_flight }
     }
 
+    /// Records that a part of the first attempt's response arrives.
+    fn receive_response_part_after(&mut self, millis: u64) {
+        let first = AttemptId { request: RequestId(0), attempt: AttemptNumber(0) };
+        let attempt = self.in_flight.get_mut(first).expect("the attempt is in flight");
+        attempt.response_progress_at = Some(START + Span::from_millis(millis));
+    }
+
     fn overdue_after(&self, millis: u64) -> Vec<OverdueAttempt> {
         let search = OverdueSearch {
             now: START + Span::from_millis(millis),
@@ -88,3 +100,13 @@
     assert_eq!(marked_after(51), 3);
     assert_eq!(marked_after(52), 0);
 }
+
+#[test]
+fn an_attempt_whose_response_is_arriving_slowly_is_not_overdue() {
+    let mut scenario = Scenario::with_attempts(1);
+    for part in 1..10 {
+        scenario.receive_response_part_after(part * 200);
+        assert_eq!(scenario.overdue_after(part * 200 + 200).len(), 0);
+    }
+    assert_eq!(scenario.overdue_after(1_800 + 201).len(), 1, "the response has stopped");
+}
--- a/crates/balancer-core/src/policy/requests/attempts_in_flight.rs
+++ b/crates/balancer-core/src/policy/requests/attempts_in_flight.rs
@@ -12,6 +12,8 @@
     pub class: ClassId,
     /// When the attempt was sent.
     pub sent_at: Time,
+    /// When the last part of the response arrived; `None` if the host has reported none.
+    pub response_progress_at: Option<Time>,
     /// Whether the attempt is a probe of an ejected server.
     pub is_probe: bool,
     /// Whether admission control has already counted the attempt as slow.
@@ -54,6 +56,11 @@
         self.attempts.remove(&id)
     }
 
+    /// Returns an attempt for modification, or `None` if there is no attempt with this id.
+    pub fn get_mut(&mut self, id: AttemptId) -> Option<&mut InFlightAttempt> {
+        self.attempts.get_mut(&id)
+    }
+
     /// Returns all attempts with their keys, in the order of the keys.
     pub fn iter(&self) -> impl Iterator<Item = (AttemptId, &InFlightAttempt)> {
         self.attempts.iter().map(|(&id, attempt)| (id, attempt))
--- a/crates/balancer-core/tests/outlier_ejection.rs
+++ b/crates/balancer-core/tests/outlier_ejection.rs
@@ -149,6 +149,28 @@
     harness.assert_no_violations();
 }
 
+/// A server takes 700 of the 800 ms that the client waits to write its response, in parts.
+#[test]
+fn a_response_that_arrives_slowly_is_neither_cancelled_nor_a_reason_to_eject_its_server() {
+    let late_class = RequestClass { late_value: 0.3, ..class(Effect::Idempotent) };
+    let settings = Settings { classes: vec![late_class], ..Settings::default() };
+    let mut harness = Harness::with_endpoints(settings, 5, fleet(4));
+    serve_successfully(&mut harness, 40, 20.0);
+    let request = harness.submit_request();
+    assert!(request.is_sent());
+
+    let mut actions = Vec::new();
+    for _ in 0..7 {
+        actions.extend(harness.advance_ms(100.0));
+        harness.handle(Event::ResponseProgress { request: request.id, attempt: FIRST_ATTEMPT });
+    }
+
+    let is_reaction = |action: &Action| is_cancel(action) || matches!(action, Action::Notify(_));
+    assert!(!actions.iter().any(is_reaction), "{actions:?}");
+    harness.succeed(request.id, 700.0);
+    harness.assert_no_violations();
+}
+
 #[test]
 fn at_most_once_request_is_not_cancelled() {
     let mut harness = harness(Effect::AtMostOnce, 5, 4);
