An id whose client has left does not run twice

Callers saw: an at-most-once request whose client reset its connection while the server worked on it ran a second time when the same id came again.

Cause: the ids of open requests were kept by the future that answers the client. It is dropped when the client leaves, while the attempt goes on, so the id was free again at once; nothing remembered ids that had run.

Change: for classes that may not simply run twice the claim to the id belongs to the request, which lasts until its last attempt has ended. An id that certainly has not run may come again, and ids of idempotent classes are free when their response is written, as before.

--- a/crates/balancer-agent/src/driver.rs
+++ b/crates/balancer-agent/src/driver.rs
@@ -228,6 +228,9 @@
         let driver = self.clone();
         spawn_local(async move {
             let result = driver.client.send_attempt(server, outgoing, timeout_at, &attempt.progress).await;
+            if !result.outcome.proves_not_run() {
+                attempt.request.record_possible_run();
+            }
             driver.end_attempt(attempt.id, result, elapsed_since(sent_at));
         });
     }
--- a/crates/balancer-agent/src/driver/requests/tests.rs
+++ b/crates/balancer-agent/src/driver/requests/tests.rs
@@ -17,6 +17,7 @@
         cost_hint: None,
         is_client_retry: false,
         deadline: Instant::now(),
+        id_claim: None,
     })
 }
 
--- a/crates/balancer-agent/src/listener.rs
+++ b/crates/balancer-agent/src/listener.rs
@@ -5,7 +5,6 @@
 mod client_connection;
 mod connection_table;
 mod invalid_request;
-mod open_requests;
 mod request_handler;
 mod response;
 mod shutdown;
--- a/crates/balancer-agent/src/listener/invalid_request.rs
+++ b/crates/balancer-agent/src/listener/invalid_request.rs
@@ -1,6 +1,7 @@
 //! The reasons for which a request is invalid, and the response to an invalid request.
 
 use super::response::{text_response, ClientResponse};
+use crate::request_ids::ClaimError;
 use hyper::header::{HeaderValue, ALLOW};
 use hyper::StatusCode;
 
@@ -22,6 +23,9 @@
     /// Another request with the same id is open.
     #[error("a request with this X-Request-ID is open")]
     RequestIdInUse,
+    /// A request with the same id may have run, and the class does not permit running it twice.
+    #[error("a request with this X-Request-ID may have run")]
+    RequestIdMayHaveRun,
     /// The request's tenant header is missing or does not name a tenant in the settings.
     #[error("X-Tenant-Id names no tenant")]
     UnknownTenant,
@@ -53,7 +57,7 @@
     fn status(self) -> StatusCode {
         match self {
             InvalidRequest::UnknownClass => StatusCode::NOT_FOUND,
-            InvalidRequest::RequestIdInUse => StatusCode::CONFLICT,
+            InvalidRequest::RequestIdInUse | InvalidRequest::RequestIdMayHaveRun => StatusCode::CONFLICT,
             InvalidRequest::WrongMethod { .. } => StatusCode::METHOD_NOT_ALLOWED,
             InvalidRequest::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             InvalidRequest::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
@@ -68,6 +72,15 @@
     }
 }
 
+impl From<ClaimError> for InvalidRequest {
+    fn from(error: ClaimError) -> Self {
+        match error {
+            ClaimError::InUse => InvalidRequest::RequestIdInUse,
+            ClaimError::MayHaveRun => InvalidRequest::RequestIdMayHaveRun,
+        }
+    }
+}
+
 impl From<InvalidRequest> for ClientResponse {
     fn from(error: InvalidRequest) -> Self {
         let mut response = text_response(error.status(), &error.to_string());
--- a/crates/balancer-agent/src/listener/request_handler.rs
+++ b/crates/balancer-agent/src/listener/request_handler.rs
@@ -1,14 +1,14 @@
 //! The handling of one client request, from its head to its final response.
 
 use super::invalid_request::InvalidRequest;
-use super::open_requests::OpenRequestIds;
 use super::response::{text_response, ClientResponse};
 use super::shutdown::ShutdownSignal;
 use super::validation::{header_text, read_request, REQUEST_ID_HEADER};
 use crate::driver::Driver;
 use crate::framing::{ConnectionState, FramingFault};
 use crate::request::ClientRequest;
-use balancer_core::RequestId;
+use crate::request_ids::{RequestIdClaim, RequestIds};
+use balancer_core::{Effect, RequestId};
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 use std::rc::Rc;
@@ -25,13 +25,13 @@
 /// responses.
 pub struct RequestHandler {
     driver: Rc<Driver>,
-    open_requests: OpenRequestIds,
+    request_ids: RequestIds,
 }
 
 impl RequestHandler {
     /// Creates a handler that submits requests to this driver.
     pub fn new(driver: Rc<Driver>) -> Self {
-        RequestHandler { driver, open_requests: OpenRequestIds::default() }
+        RequestHandler { driver, request_ids: RequestIds::default() }
     }
 
     /// Handles a request and returns the response to it.
@@ -51,12 +51,23 @@
         if request.uri().path() == READINESS_PATH {
             return Ok(self.readiness_response(shutdown));
         }
-        let request = read_request(request, &self.driver).await?;
-        let id = header_text(&request.headers, REQUEST_ID_HEADER).unwrap_or_default();
-        let _id_guard = self.open_requests.open(id).ok_or(InvalidRequest::RequestIdInUse)?;
+        let mut request = read_request(request, &self.driver).await?;
+        let _claim = self.claim_id(&mut request)?;
         Ok(self.submit_and_wait(request, shutdown).await)
     }
 
+    /// Claims the id of a request. The claim belongs to the request, which lasts until all attempts have ended,
+    /// if the request may not run twice. Otherwise, returns the claim, which ends with the response.
+    fn claim_id(&self, request: &mut ClientRequest) -> Result<Option<RequestIdClaim>, InvalidRequest> {
+        let id = header_text(&request.headers, REQUEST_ID_HEADER).unwrap_or_default();
+        let claim = self.request_ids.claim(id)?;
+        if self.driver.effect_of(request.class) == Effect::Idempotent {
+            return Ok(Some(claim));
+        }
+        request.id_claim = Some(claim);
+        Ok(None)
+    }
+
     /// Submits a valid request to the driver, and waits for the final response until shortly after the
     /// request's deadline or until responses are due in a shutdown.
     async fn submit_and_wait(&self, request: ClientRequest, shutdown: &ShutdownSignal) -> ClientResponse {
--- a/crates/balancer-agent/src/listener/validation.rs
+++ b/crates/balancer-agent/src/listener/validation.rs
@@ -72,6 +72,7 @@
         method: head.method,
         uri: head.uri,
         body,
+        id_claim: None,
     })
 }
 
--- a/crates/balancer-agent/src/main.rs
+++ b/crates/balancer-agent/src/main.rs
@@ -14,6 +14,7 @@
 mod listener;
 mod logging;
 mod request;
+mod request_ids;
 mod upstream;
 
 use balancer_core::{Settings, SettingsError};
--- a/crates/balancer-agent/src/request.rs
+++ b/crates/balancer-agent/src/request.rs
@@ -1,5 +1,6 @@
 //! The requests that the listener submits to the driver, and the final responses that the driver returns.
 
+use crate::request_ids::RequestIdClaim;
 use balancer_core::{ClassId, RequestId, RoutingKey, Span, TenantId};
 use bytes::Bytes;
 use hyper::header::{HeaderMap, HeaderValue};
@@ -30,9 +31,18 @@
     /// When the final response must be known. The rest of the client's timeout is reserved for writing the
     /// response.
     pub deadline: Instant,
+    /// The claim to the request's id, if the request may not run twice.
+    pub id_claim: Option<RequestIdClaim>,
 }
 
 impl ClientRequest {
+    /// Records that a server may have run the request.
+    pub fn record_possible_run(&self) {
+        if let Some(claim) = &self.id_claim {
+            claim.record_possible_run();
+        }
+    }
+
     /// Converts the request to the balancer's type. `time_left` is the time left until the deadline.
     pub fn to_balancer_request(&self, id: RequestId, time_left: Span) -> balancer_core::Request {
         balancer_core::Request {
--- a/crates/balancer-agent/tests/client_disconnects.rs
+++ b/crates/balancer-agent/tests/client_disconnects.rs
@@ -187,3 +187,54 @@
         assert_eq!(next.first_line(), "POST /pay/next HTTP/1.1", "{}", disconnect.description);
     }
 }
+
+/// A client disconnects while its request runs at the server, and the same request comes again: while the first
+/// attempt is in flight, and after it has ended.
+#[tokio::test]
+async fn an_id_whose_client_has_left_does_not_run_twice() {
+    for path in ["/pay", "/save"] {
+        for disconnect in DISCONNECTS {
+            let gate = ResponseGate::default();
+            let mut server = TestServer::holding_responses(&gate, "x").await;
+            let agent = start_agent(server.address).await;
+            let request = post_request(path, "60000m", "b");
+            let client = agent.send_request(&request).await;
+            assert_eq!(server.next_request().await.body, b"b");
+
+            disconnect.apply(&agent, client).await;
+            let while_running = agent.exchange(&request).await;
+            gate.release_one();
+            // The attempt may have ended by now, or not: the id must be refused in either case.
+            let after_run = agent.exchange(&request).await;
+
+            let description = disconnect.description;
+            assert_eq!((while_running.status(), after_run.status()), (409, 409), "{path}, {description}");
+            assert!(!server.has_unread_request(), "{path}, {description}: the request ran twice");
+        }
+    }
+}
+
+/// An id whose request has certainly not run can come again.
+#[tokio::test]
+async fn an_id_that_has_not_run_may_come_again() {
+    let replies = vec![
+        ServerReply::KeepOpen(NOT_PROCESSED_503.to_vec()),
+        ServerReply::KeepOpen(NOT_PROCESSED_503.to_vec()),
+        ServerReply::KeepOpen(NOT_PROCESSED_503.to_vec()),
+        ServerReply::KeepOpen(ok_response("x")),
+    ];
+    let server = TestServer::replying_in_order(replies).await;
+    let agent = start_agent(server.address).await;
+    let request = post_request("/pay", "300m", "b");
+
+    let statuses = within_time_limit("a served request", async {
+        let mut statuses = Vec::new();
+        while !statuses.contains(&200) {
+            statuses.push(agent.exchange(&request).await.status());
+        }
+        statuses
+    })
+    .await;
+
+    assert!(statuses.iter().all(|status| [200, 429].contains(status)), "{statuses:?}");
+}
