A connection slot is free only once its socket is closed

Cause: the slot of a connection to a server was freed when its handle was dropped, but the socket closes when the task that drives the connection ends, one turn of the runtime later. When many attempts end at once, the agent opened new sockets while the old ones were still open, more than limits.sockets permits; 24 descriptors are reserved for everything else.

Change: the socket itself owns the slot.

--- a/crates/balancer-agent/src/upstream/counting_stream.rs
+++ b/crates/balancer-agent/src/upstream/counting_stream.rs
@@ -88,19 +88,22 @@
 }
 
 /// A connected socket that counts written bytes and enforces the limits of its [`SocketState`].
-pub struct CountingStream {
+pub struct CountingStream<Slot> {
+    // Fields are dropped in order: the socket is closed before its slot is free.
     io: TokioIo<TcpStream>,
     socket_state: Rc<SocketState>,
+    _slot: Slot,
 }
 
-impl CountingStream {
-    /// Wraps a connected socket. Reads fail until [`SocketState::allow_reading`] is called.
-    pub fn new(stream: TcpStream, socket_state: Rc<SocketState>) -> Self {
-        CountingStream { io: TokioIo::new(stream), socket_state }
+impl<Slot> CountingStream<Slot> {
+    /// Wraps a connected socket, which occupies the slot until it is closed. Reads fail until
+    /// [`SocketState::allow_reading`] is called.
+    pub fn new(stream: TcpStream, socket_state: Rc<SocketState>, slot: Slot) -> Self {
+        CountingStream { io: TokioIo::new(stream), socket_state, _slot: slot }
     }
 }
 
-impl Read for CountingStream {
+impl<Slot: Unpin> Read for CountingStream<Slot> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -121,7 +124,7 @@
     }
 }
 
-impl Write for CountingStream {
+impl<Slot: Unpin> Write for CountingStream<Slot> {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         self.poll_write_vectored(cx, &[io::IoSlice::new(buf)])
     }
--- a/crates/balancer-agent/src/upstream/counting_stream/tests.rs
+++ b/crates/balancer-agent/src/upstream/counting_stream/tests.rs
@@ -7,13 +7,13 @@
 use tokio::net::TcpListener;
 
 /// Returns a socket that may read any number of bytes, its state, and the peer's socket.
-async fn connected_pair() -> (CountingStream, Rc<SocketState>, TcpStream) {
+async fn connected_pair() -> (CountingStream<()>, Rc<SocketState>, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
     let (stream, accepted) = tokio::join!(TcpStream::connect(address), listener.accept());
     let state = Rc::<SocketState>::default();
     state.allow_reading(u64::MAX);
-    let stream = CountingStream::new(stream.expect("a connection"), state.clone());
+    let stream = CountingStream::new(stream.expect("a connection"), state.clone(), ());
     (stream, state, accepted.expect("a connection").0)
 }
 
@@ -24,14 +24,14 @@
 }
 
 /// Reads some bytes and returns their number.
-async fn read(stream: &mut CountingStream) -> io::Result<usize> {
+async fn read(stream: &mut CountingStream<()>) -> io::Result<usize> {
     let mut bytes = [0; 64];
     let mut buffer = ReadBuf::new(&mut bytes);
     poll_fn(|cx| Pin::new(&mut *stream).poll_read(cx, buffer.unfilled())).await?;
     Ok(buffer.filled().len())
 }
 
-async fn write(stream: &mut CountingStream) -> io::Result<usize> {
+async fn write(stream: &mut CountingStream<()>) -> io::Result<usize> {
     poll_fn(|cx| Pin::new(&mut *stream).poll_write(cx, b"request")).await
 }
 
--- a/crates/balancer-agent/src/upstream/pool/connection.rs
+++ b/crates/balancer-agent/src/upstream/pool/connection.rs
@@ -42,11 +42,10 @@
     /// When the connection last became idle, or when it was opened if it has not been idle.
     idle_since: Instant,
     _task: ConnectionTask,
-    _slot: ConnectionSlot,
 }
 
 impl Connection {
-    /// Opens a connection to a target. The connection occupies the slot until it is dropped.
+    /// Opens a connection to a target. The connection occupies the slot until its socket is closed.
     ///
     /// # Errors
     ///
@@ -56,7 +55,7 @@
         let socket_state = Rc::<SocketState>::default();
         let mut builder = Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES).max_header_size(MAX_HEAD_BYTES);
-        let socket = CountingStream::new(stream, socket_state.clone());
+        let socket = CountingStream::new(stream, socket_state.clone(), slot);
         let http = start_http(&builder, socket).await.map_err(io::Error::other)?;
         Ok(Connection {
             target,
@@ -64,7 +63,6 @@
             socket_state,
             idle_since: Instant::now(),
             _task: http.task,
-            _slot: slot,
         })
     }
 
--- a/crates/balancer-agent/src/upstream/pool/tests.rs
+++ b/crates/balancer-agent/src/upstream/pool/tests.rs
@@ -80,3 +80,30 @@
 
     assert!(!slots.is_exhausted());
 }
+
+/// A slot that is free before its socket is closed lets the process open more sockets than it may.
+#[tokio::test]
+async fn a_slot_is_free_only_after_its_socket_is_closed() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let pool = pool();
+    let list = serde_json::json!({"seq": 1, "hosts": [
+        {"host": "s", "dial": address.to_string(), "health": "up"}]});
+    let list = EndpointList::parse(&list).expect("a list");
+    pool.update_server(SERVER, &list.entries[0]);
+    let test = async {
+        let connections = [(); 2].map(|()| pool.acquire(SERVER));
+        let [first, second] = connections;
+        let (first, second) = tokio::join!(first, second);
+        let _second = second.unwrap_or_else(|outcome| panic!("{outcome:?}"));
+        drop(first.unwrap_or_else(|outcome| panic!("{outcome:?}")));
+        assert!(pool.slots.is_exhausted(), "the socket is still open");
+
+        let (mut peer, _) = listener.accept().await.expect("the first connection");
+        let read = tokio::io::AsyncReadExt::read(&mut peer, &mut [0; 1]).await;
+        assert_eq!(read.expect("an orderly close"), 0);
+
+        assert!(!pool.slots.is_exhausted());
+    };
+    tokio::task::LocalSet::new().run_until(test).await;
+}
