Bound what clients and servers send by one byte budget

Callers saw: with hundreds of clients that stop within a body, send long heads, or send whole bodies and do not read, a process with 32 MB grew to two or three times that and was killed.

Cause: limits.memory_mb was not read, and each buffer had a limit of its own (64 KiB for a body, 16 KiB for a head, 500 connections), whose product is 80 MB. A body was kept as the parts in which it had arrived, each a view of 4 KiB that keeps a read buffer of hyper's of 8 KiB or more alive, and was then copied.

Change: memory.rs owns one budget that follows from limits.memory_mb. Connections, heads beyond 4 KiB, requests (head three times, body) and responses reserve their bytes before they take memory and hold them until the last copy is released. Bodies are copied into one buffer of their size. What finds no memory: a request gets 429 at once, a long head is not read on, a response waits in its socket until its deadline, a connection waits for an eviction. Small messages may use the whole budget, so a crowd of large ones cannot lock them out.

Evidence: tests/memory_limit.rs, 450 clients beside a quiet one, 32 MB, debug build; peak in kB, limit 31,250. The quiet client got each final response in time.

Discovery's lists do not reserve: they are not sent by clients or servers, and 8 MB are set aside for them and the program.

--- a/crates/balancer-agent/src/config.rs
+++ b/crates/balancer-agent/src/config.rs
@@ -17,6 +17,11 @@
 const MIN_SOCKETS: usize = 80;
 /// The highest limit on file descriptors. A higher limit in the configuration is reduced to this value.
 const MAX_SOCKETS: usize = 1 << 20;
+/// The limit on memory if the configuration sets none in `limits.memory_mb`: the least that a deployment gives a
+/// process (TERMS page), in MB.
+const DEFAULT_MEMORY_MB: f64 = 32.0;
+/// The number of bytes in a MB.
+const BYTES_PER_MB: f64 = 1e6;
 /// The agent's name if the configuration sets none.
 const DEFAULT_NAME: &str = "agent";
 /// The environment variable with the path of the configuration file.
@@ -94,6 +99,8 @@
     pub seed: u64,
     /// The maximum number of file descriptors that the process may hold.
     pub max_sockets: usize,
+    /// The maximum number of bytes of memory that the process may use.
+    pub max_memory_bytes: usize,
     /// The balancer's settings.
     pub settings: Settings,
     /// The settings that the host of the balancer needs: names and connection timeouts.
@@ -133,6 +140,8 @@
 struct Limits {
     /// The maximum number of file descriptors.
     sockets: Option<usize>,
+    /// The maximum amount of memory, in MB.
+    memory_mb: Option<f64>,
 }
 
 impl ConfigFile {
@@ -198,6 +207,7 @@
             discovery_address,
             seed: parse_seed(&file.seed.unwrap_or_default()),
             max_sockets: resolve_max_sockets(&file.limits)?,
+            max_memory_bytes: (file.limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB) * BYTES_PER_MB) as usize,
             settings,
             host_settings,
             cached_endpoints: parse_cached_endpoints(&file.cached_endpoints)?,
--- a/crates/balancer-agent/src/driver.rs
+++ b/crates/balancer-agent/src/driver.rs
@@ -17,6 +17,7 @@
 use crate::discovery::{WatchEvent, WatchHandler};
 use crate::endpoint_list::EndpointList;
 use crate::logging::{self, log_line};
+use crate::memory::MemoryBudget;
 use crate::request::{ClientRequest, SubmittedRequest};
 use crate::upstream::{AttemptResult, ConnectionPool, PoolLimits, ServerClient};
 use balancer_core::{
@@ -66,21 +67,27 @@
 
 impl Driver {
     /// Creates a driver and starts its balancer with the cached endpoint list of the configuration. The
-    /// driver holds at most `max_connections` connections to servers at a time.
+    /// driver holds at most `max_connections` connections to servers at a time. Connections and responses
+    /// take their memory from `memory`.
     ///
     /// Timers are handled only while [`Driver::run`] runs.
     ///
     /// # Errors
     ///
     /// Returns an error if the balancer does not accept the settings.
-    pub fn start(config: Config, max_connections: usize) -> Result<Rc<Self>, SettingsError> {
+    pub fn start(
+        config: Config,
+        max_connections: usize,
+        memory: MemoryBudget,
+    ) -> Result<Rc<Self>, SettingsError> {
         let clock = Clock::start();
         let host_settings = config.host_settings;
-        let pool = ConnectionPool::new(PoolLimits {
+        let limits = PoolLimits {
             max_connections,
             connect_timeout: Duration::from_micros(host_settings.connect_timeout.as_micros()),
             keepalive: Duration::from_micros(host_settings.keepalive.as_micros()),
-        });
+        };
+        let pool = ConnectionPool::new(limits, memory.clone());
         let effects = config.settings.classes.iter().map(|class| class.effect).collect();
         let mut balancer = Balancer::new(config.settings, config.seed)?;
         let mut start_actions = Vec::new();
@@ -95,7 +102,7 @@
                 config.discovery_address,
                 config.cached_endpoints.version,
             )),
-            client: ServerClient::new(pool, host_settings.load_report_fields.clone()),
+            client: ServerClient::new(pool, memory, host_settings.load_report_fields.clone()),
             host_settings,
         });
         let endpoints = driver.update_servers(&config.cached_endpoints);
@@ -121,6 +128,12 @@
         self.client.pool().has_serving_server()
     }
 
+    /// Closes the connection to a server that has been idle for longest, so that its memory can be used.
+    /// Returns `false` if no connection is idle.
+    pub fn close_idle_server_connection(&self) -> bool {
+        self.client.pool().close_least_recently_used()
+    }
+
     /// Submits a request to the balancer. The returned handle receives the final response.
     pub fn submit(self: &Rc<Self>, request: ClientRequest) -> SubmittedRequest {
         let request = Rc::new(request);
--- a/crates/balancer-agent/src/framing.rs
+++ b/crates/balancer-agent/src/framing.rs
@@ -15,6 +15,7 @@
 mod client_stream;
 mod connection_state;
 mod parser;
+mod receive_buffer;
 mod request_framer;
 
 pub use client_stream::ClientStream;
--- a/crates/balancer-agent/src/framing/client_stream.rs
+++ b/crates/balancer-agent/src/framing/client_stream.rs
@@ -2,6 +2,7 @@
 
 use super::connection_state::ConnectionState;
 use super::request_framer::RequestFramer;
+use crate::memory::MemoryBudget;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use std::io;
@@ -30,12 +31,13 @@
 }
 
 impl ClientStream {
-    /// Wraps an accepted connection, whose state is recorded in `state`.
-    pub fn new(stream: TcpStream, state: Rc<ConnectionState>) -> Self {
+    /// Wraps an accepted connection, whose state is recorded in `state`. Long heads take their memory from
+    /// `memory`.
+    pub fn new(stream: TcpStream, state: Rc<ConnectionState>, memory: MemoryBudget) -> Self {
         ClientStream {
             io: TokioIo::new(stream),
             state,
-            framer: RequestFramer::new(),
+            framer: RequestFramer::new(memory),
             is_at_end: false,
             discarded_bytes: 0,
             is_nodelay_set: false,
@@ -54,7 +56,7 @@
         }
     }
 
-    /// Reads bytes from the socket into the framer. Returns `false` at the end of the stream.
+    /// Reads bytes from the socket into the framer once there is memory for them. Returns `false` at the end of the stream.
     ///
     /// Bytes that the framer drops are read as well, because the end of the stream can be detected only after
     /// them.
@@ -62,6 +64,7 @@
         if self.is_at_end {
             return Poll::Ready(Ok(false));
         }
+        ready!(self.framer.poll_room(cx, READ_BUFFER_BYTES));
         let mut bytes = [0; READ_BUFFER_BYTES];
         let length = ready!(self.poll_receive(cx, &mut bytes))?;
         self.framer.push(&bytes[..length], &self.state);
--- a/crates/balancer-agent/src/framing/client_stream/tests.rs
+++ b/crates/balancer-agent/src/framing/client_stream/tests.rs
@@ -10,7 +10,8 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let client = TcpStream::connect(listener.local_addr().expect("an address"));
     let (_client, accepted) = tokio::join!(client, listener.accept());
-    let mut stream = ClientStream::new(accepted.expect("a connection").0, ConnectionState::new());
+    let memory = MemoryBudget::with_capacity(1 << 20);
+    let mut stream = ClientStream::new(accepted.expect("a connection").0, ConnectionState::new(), memory);
     assert!(!stream.io.inner().nodelay().expect("an option"));
 
     poll_fn(|cx| Pin::new(&mut stream).poll_write(cx, b"x")).await.expect("the byte is written");
--- /dev/null
+++ b/crates/balancer-agent/src/framing/receive_buffer.rs
@@ -0,0 +1,93 @@
+//! The buffer for the bytes that have been received on a client connection and not been consumed.
+
+use crate::memory::{MemoryBudget, PendingReservation, Purpose, Reservation};
+use bytes::{Buf, BytesMut};
+use std::ops::Deref;
+use std::task::{ready, Context, Poll};
+
+/// The capacity for which every connection has memory, in bytes. A larger buffer reserves the difference.
+const MIN_CAPACITY_BYTES: usize = 4 << 10;
+
+/// A buffer of received bytes, whose memory comes from the budget.
+pub struct ReceiveBuffer {
+    bytes: BytesMut,
+    memory: MemoryBudget,
+    /// The memory beyond [`MIN_CAPACITY_BYTES`].
+    reservation: Option<Reservation>,
+    /// The memory that the buffer waits for.
+    pending: Option<PendingReservation>,
+}
+
+impl ReceiveBuffer {
+    /// Creates an empty buffer that takes its memory from `memory`.
+    pub fn new(memory: MemoryBudget) -> Self {
+        ReceiveBuffer { bytes: BytesMut::new(), memory, reservation: None, pending: None }
+    }
+
+    /// Waits until `additional` bytes can be appended.
+    pub fn poll_room(&mut self, cx: &mut Context<'_>, additional: usize) -> Poll<()> {
+        let Some(capacity) = self.missing_capacity(additional) else { return Poll::Ready(()) };
+        let missing = capacity - MIN_CAPACITY_BYTES;
+        let pending =
+            self.pending.get_or_insert_with(|| self.memory.reserve_later(Purpose::ReceiveBuffer, missing));
+        let reservation = ready!(pending.as_mut().poll(cx));
+        self.pending = None;
+        self.grow(capacity, Some(reservation));
+        Poll::Ready(())
+    }
+
+    /// Returns whether `additional` bytes can be appended now.
+    pub fn has_room(&mut self, additional: usize) -> bool {
+        let Some(capacity) = self.missing_capacity(additional) else { return true };
+        let reservation = self.memory.try_reserve(Purpose::ReceiveBuffer, capacity - MIN_CAPACITY_BYTES);
+        let is_reserved = reservation.is_some();
+        if is_reserved {
+            self.grow(capacity, reservation);
+        }
+        is_reserved
+    }
+
+    /// Appends bytes. The caller must ensure that there is room for them.
+    pub fn extend(&mut self, bytes: &[u8]) {
+        if self.bytes.capacity() == 0 {
+            self.bytes.reserve(MIN_CAPACITY_BYTES);
+        }
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    /// Removes the first `length` bytes. An empty buffer gives its memory back.
+    pub fn consume(&mut self, length: usize) {
+        self.bytes.advance(length);
+        if self.bytes.is_empty() {
+            self.bytes = BytesMut::new();
+            self.reservation = None;
+        }
+    }
+
+    /// Returns the capacity that the buffer must grow to so that `additional` bytes can be appended, or `None`
+    /// if its memory suffices. Capacities are multiples of [`MIN_CAPACITY_BYTES`].
+    fn missing_capacity(&self, additional: usize) -> Option<usize> {
+        let needed = (self.bytes.len() + additional).next_multiple_of(MIN_CAPACITY_BYTES);
+        let reserved = self.reservation.as_ref().map_or(0, Reservation::bytes);
+        (needed > MIN_CAPACITY_BYTES + reserved).then_some(needed)
+    }
+
+    /// Moves the bytes to a buffer of this capacity. `BytesMut` alone would double its capacity.
+    fn grow(&mut self, capacity: usize, reservation: Option<Reservation>) {
+        let mut grown = BytesMut::with_capacity(capacity);
+        grown.extend_from_slice(&self.bytes);
+        self.bytes = grown;
+        self.reservation = reservation;
+    }
+}
+
+impl Deref for ReceiveBuffer {
+    type Target = [u8];
+
+    fn deref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/balancer-agent/src/framing/request_framer.rs
+++ b/crates/balancer-agent/src/framing/request_framer.rs
@@ -5,8 +5,10 @@
 
 use super::connection_state::ConnectionState;
 use super::parser::{parse_chunk_header, parse_head, ChunkHeader, Head};
+use super::receive_buffer::ReceiveBuffer;
 use super::MAX_HEAD_BYTES;
-use bytes::{Buf, BytesMut};
+use crate::memory::MemoryBudget;
+use std::task::{Context, Poll};
 
 /// The part of the current request that the framer expects or releases next.
 #[derive(Clone, Copy)]
@@ -29,7 +31,7 @@
 pub struct RequestFramer {
     progress: Progress,
     /// The bytes that have been received and that the reader has not consumed.
-    buffer: BytesMut,
+    buffer: ReceiveBuffer,
     /// The number of released bytes at the front of the buffer.
     released: usize,
     /// The buffer's length when an incomplete head was last parsed. The head is parsed again only after the
@@ -38,9 +40,10 @@
 }
 
 impl RequestFramer {
-    /// Creates a framer that expects the first head of a connection.
-    pub fn new() -> Self {
-        RequestFramer { progress: Progress::Head, buffer: BytesMut::new(), released: 0, parsed_length: 0 }
+    /// Creates a framer that expects the first head of a connection. Its buffer takes its memory from `memory`.
+    pub fn new(memory: MemoryBudget) -> Self {
+        let buffer = ReceiveBuffer::new(memory);
+        RequestFramer { progress: Progress::Head, buffer, released: 0, parsed_length: 0 }
     }
 
     /// Returns whether the framer expects no further request.
@@ -48,14 +51,26 @@
         matches!(self.progress, Progress::Closed)
     }
 
+    /// Waits until `additional` bytes can be pushed. After a complete request, they always can: the stream is
+    /// read on so that its end is noticed.
+    pub fn poll_room(&mut self, cx: &mut Context<'_>, additional: usize) -> Poll<()> {
+        match self.progress {
+            Progress::Complete | Progress::Closed => Poll::Ready(()),
+            Progress::Head | Progress::ChunkHeader | Progress::Body(_) | Progress::Chunk(_) => {
+                self.buffer.poll_room(cx, additional)
+            }
+        }
+    }
+
     /// Appends received bytes to the buffer. After a complete request, bytes that would make the buffer
-    /// larger than [`MAX_HEAD_BYTES`] are dropped.
+    /// larger than [`MAX_HEAD_BYTES`], and bytes for which there is no memory, are dropped.
     pub fn push(&mut self, bytes: &[u8], connection: &ConnectionState) {
         let is_complete = matches!(self.progress, Progress::Complete);
-        if is_complete && self.buffer.len() + bytes.len() > MAX_HEAD_BYTES {
+        let is_too_long = self.buffer.len() + bytes.len() > MAX_HEAD_BYTES;
+        if is_complete && (is_too_long || !self.buffer.has_room(bytes.len())) {
             connection.record_excess_bytes();
         } else {
-            self.buffer.extend_from_slice(bytes);
+            self.buffer.extend(bytes);
         }
     }
 
@@ -78,7 +93,7 @@
 
     /// Removes the first `length` released bytes.
     pub fn consume(&mut self, length: usize) {
-        self.buffer.advance(length);
+        self.buffer.consume(length);
         self.released -= length;
     }
 
--- a/crates/balancer-agent/src/listener.rs
+++ b/crates/balancer-agent/src/listener.rs
@@ -14,6 +14,7 @@
 
 use crate::driver::Driver;
 use crate::framing::ConnectionState;
+use crate::memory::MemoryBudget;
 use acceptor::Acceptor;
 use client_connection::ClientConnection;
 use connection_table::ConnectionTable;
@@ -44,11 +45,16 @@
 
 impl Listener {
     /// Creates a listener that serves at most `max_connections` connections at a time. `longest_timeout` is
-    /// the longest that clients wait for a response.
-    pub fn new(driver: Rc<Driver>, max_connections: usize, longest_timeout: Duration) -> Rc<Self> {
+    /// the longest that clients wait for a response. Connections and requests take their memory from `memory`.
+    pub fn new(
+        driver: Rc<Driver>,
+        max_connections: usize,
+        longest_timeout: Duration,
+        memory: MemoryBudget,
+    ) -> Rc<Self> {
         Rc::new(Listener {
-            connections: ConnectionTable::new(max_connections),
-            request_handler: RequestHandler::new(driver),
+            connections: ConnectionTable::new(max_connections, memory.clone()),
+            request_handler: RequestHandler::new(driver, memory),
             shutdown: ShutdownSignal::new(),
             longest_timeout,
         })
@@ -62,8 +68,8 @@
     pub async fn accept(self: Rc<Self>, socket: TcpListener) {
         let acceptor = Acceptor::new(socket);
         while let Some(stream) = acceptor.next_connection(&self.shutdown).await {
-            self.connections.wait_for_slot().await;
-            let connection = self.connections.open();
+            let slot = self.connections.wait_for_slot(|| self.request_handler.release_memory()).await;
+            let connection = self.connections.open(slot);
             spawn_local(self.clone().run_connection(stream, connection));
         }
     }
--- a/crates/balancer-agent/src/listener/client_connection.rs
+++ b/crates/balancer-agent/src/listener/client_connection.rs
@@ -6,6 +6,7 @@
 use super::slot_usage::SlotUsage;
 use super::time_limits::TimeLimits;
 use crate::framing::{ClientStream, ConnectionState, Phase, MAX_HEAD_BYTES};
+use crate::memory::{MemoryBudget, Reservation};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::Service;
@@ -38,14 +39,23 @@
 pub struct ClientConnection {
     id: ConnectionId,
     state: Rc<ConnectionState>,
+    /// The budget that longer heads than the connection has memory for take their memory from.
+    memory: MemoryBudget,
+    _connection_memory: Reservation,
     /// The signal that an eviction has been requested, for the task that serves the connection.
     eviction_requested: Notify,
 }
 
 impl ClientConnection {
-    /// Creates the state of a connection that has just been accepted.
-    pub fn new(id: ConnectionId) -> Self {
-        ClientConnection { id, state: ConnectionState::new(), eviction_requested: Notify::new() }
+    /// Creates the state of a connection that has just been accepted, whose memory is `connection_memory`.
+    pub fn new(id: ConnectionId, memory: MemoryBudget, connection_memory: Reservation) -> Self {
+        ClientConnection {
+            id,
+            state: ConnectionState::new(),
+            memory,
+            _connection_memory: connection_memory,
+            eviction_requested: Notify::new(),
+        }
     }
 
     /// Returns the connection's id in the connection table.
@@ -81,7 +91,7 @@
         let limits = TimeLimits::starting_now(longest_timeout);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES).max_header_size(MAX_HEAD_BYTES);
-        let stream = ClientStream::new(stream, self.state.clone());
+        let stream = ClientStream::new(stream, self.state.clone(), self.memory.clone());
         let mut http_connection = pin!(builder.serve_connection(stream, service));
         let mut is_shutting_down = false;
         loop {
--- a/crates/balancer-agent/src/listener/connection_table.rs
+++ b/crates/balancer-agent/src/listener/connection_table.rs
@@ -7,6 +7,7 @@
 use super::slot_usage::SlotUsage;
 use super::time_limits::{MIN_IDLE_TIME, MIN_SILENT_TIME};
 use crate::framing::{ConnectionState, Phase};
+use crate::memory::{MemoryBudget, Purpose, Reservation};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -16,10 +17,16 @@
 
 /// The interval at which a wait for a slot searches for a connection that has become evictable.
 const EVICTION_INTERVAL: Duration = Duration::from_millis(20);
+/// The memory of one connection: its task, and its buffers for reading and writing short messages.
+const CONNECTION_BYTES: usize = 20 << 10;
+
+/// A free slot for a connection, with the memory of the connection.
+pub struct FreeSlot(Reservation);
 
 /// The table of open client connections.
 pub struct ConnectionTable {
     max_connections: usize,
+    memory: MemoryBudget,
     next_id: Cell<ConnectionId>,
     connections: RefCell<HashMap<ConnectionId, Rc<ClientConnection>>>,
     /// The signal that a connection has been closed. At most one task waits for it at a time: the accept loop
@@ -28,10 +35,11 @@
 }
 
 impl ConnectionTable {
-    /// Creates a table with `max_connections` slots.
-    pub fn new(max_connections: usize) -> Self {
+    /// Creates a table with `max_connections` slots. Connections take their memory from `memory`.
+    pub fn new(max_connections: usize, memory: MemoryBudget) -> Self {
         ConnectionTable {
             max_connections,
+            memory,
             next_id: Cell::default(),
             connections: RefCell::default(),
             connection_closed: Notify::new(),
@@ -44,10 +52,10 @@
     }
 
     /// Adds a connection that has just been accepted.
-    pub fn open(&self) -> Rc<ClientConnection> {
+    pub fn open(&self, slot: FreeSlot) -> Rc<ClientConnection> {
         let id = self.next_id.get();
         self.next_id.set(id.next());
-        let connection = Rc::new(ClientConnection::new(id));
+        let connection = Rc::new(ClientConnection::new(id, self.memory.clone(), slot.0));
         self.connections.borrow_mut().insert(id, connection.clone());
         connection
     }
@@ -58,9 +66,16 @@
         self.connection_closed.notify_one();
     }
 
-    /// Waits until a slot is free. While none is free, evictable connections are evicted one by one.
-    pub async fn wait_for_slot(&self) {
-        while self.connections.borrow().len() >= self.max_connections {
+    /// Waits until a slot is free and there is memory for a connection. Meanwhile, evictable connections are
+    /// evicted one by one, and `release_memory` is called so that its memory can be used.
+    pub async fn wait_for_slot(&self, release_memory: impl Fn()) -> FreeSlot {
+        loop {
+            if let Some(slot) = self.free_slot() {
+                return slot;
+            }
+            if self.connections.borrow().len() < self.max_connections {
+                release_memory();
+            }
             self.evict_one();
             // This wait ends when a connection has been closed, or when the next search for an evictable one
             // is due.
@@ -68,6 +83,14 @@
         }
     }
 
+    /// Returns a free slot, or `None` if all slots are in use or there is no memory for a connection.
+    pub fn free_slot(&self) -> Option<FreeSlot> {
+        if self.connections.borrow().len() >= self.max_connections {
+            return None;
+        }
+        self.memory.try_reserve(Purpose::ClientConnection, CONNECTION_BYTES).map(FreeSlot)
+    }
+
     /// Waits until all connections are closed.
     pub async fn wait_until_empty(&self) {
         while !self.connections.borrow().is_empty() {
--- a/crates/balancer-agent/src/listener/invalid_request.rs
+++ b/crates/balancer-agent/src/listener/invalid_request.rs
@@ -41,6 +41,9 @@
     /// The request has no idempotency key, which its class requires.
     #[error("this class needs an Idempotency-Key")]
     MissingIdempotencyKey,
+    /// There is no memory for the request. It was not forwarded.
+    #[error("refused; trying again is harmless")]
+    OutOfMemory,
     /// The request's body exceeds the size limit.
     #[error("a body holds at most 64 KiB")]
     BodyTooLarge,
@@ -59,6 +62,7 @@
             InvalidRequest::UnknownClass => StatusCode::NOT_FOUND,
             InvalidRequest::RequestIdInUse | InvalidRequest::RequestIdMayHaveRun => StatusCode::CONFLICT,
             InvalidRequest::WrongMethod { .. } => StatusCode::METHOD_NOT_ALLOWED,
+            InvalidRequest::OutOfMemory => StatusCode::TOO_MANY_REQUESTS,
             InvalidRequest::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             InvalidRequest::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             InvalidRequest::AmbiguousLength
--- a/crates/balancer-agent/src/listener/request_handler.rs
+++ b/crates/balancer-agent/src/listener/request_handler.rs
@@ -6,6 +6,7 @@
 use super::validation::{header_text, read_request, REQUEST_ID_HEADER};
 use crate::driver::Driver;
 use crate::framing::{ConnectionState, FramingFault};
+use crate::memory::MemoryBudget;
 use crate::request::ClientRequest;
 use crate::request_ids::{RequestIdClaim, RequestIds};
 use balancer_core::{Effect, RequestId};
@@ -26,12 +27,19 @@
 pub struct RequestHandler {
     driver: Rc<Driver>,
     request_ids: RequestIds,
+    /// The budget that the memory of requests is taken from.
+    memory: MemoryBudget,
 }
 
 impl RequestHandler {
-    /// Creates a handler that submits requests to this driver.
-    pub fn new(driver: Rc<Driver>) -> Self {
-        RequestHandler { driver, request_ids: RequestIds::default() }
+    /// Creates a handler that submits requests to this driver. Requests take their memory from `memory`.
+    pub fn new(driver: Rc<Driver>, memory: MemoryBudget) -> Self {
+        RequestHandler { driver, request_ids: RequestIds::default(), memory }
+    }
+
+    /// Releases memory that is used only to be quicker later: that of an idle connection to a server.
+    pub fn release_memory(&self) {
+        self.driver.close_idle_server_connection();
     }
 
     /// Handles a request and returns the response to it.
@@ -51,7 +59,7 @@
         if request.uri().path() == READINESS_PATH {
             return Ok(self.readiness_response(shutdown));
         }
-        let mut request = read_request(request, &self.driver).await?;
+        let mut request = read_request(request, &self.driver, &self.memory).await?;
         let _claim = self.claim_id(&mut request)?;
         Ok(self.submit_and_wait(request, shutdown).await)
     }
--- a/crates/balancer-agent/src/listener/tests.rs
+++ b/crates/balancer-agent/src/listener/tests.rs
@@ -55,11 +55,14 @@
         discovery_address: unused_address,
         seed: 1,
         max_sockets: 100,
+        max_memory_bytes: 32_000_000,
         settings: Settings::default(),
         host_settings: HostSettings { class_names: vec!["read".into()], ..host_settings },
         cached_endpoints: EndpointList::default(),
     };
-    Listener::new(Driver::start(config, 10).expect("a driver"), 10, Duration::from_secs(1))
+    let memory = MemoryBudget::for_process(config.max_memory_bytes);
+    let driver = Driver::start(config, 10, memory.clone()).expect("a driver");
+    Listener::new(driver, 10, Duration::from_secs(1), memory)
 }
 
 /// A client connection whose serving future is polled by the test, not by a task.
@@ -73,7 +76,8 @@
     /// Opens a client connection to the listener.
     fn open(listener: &Rc<Listener>) -> Self {
         let SocketPair { agent_end, client_end } = SocketPair::without_tcp_options();
-        let table_entry = listener.connections.open();
+        let slot = listener.connections.free_slot().expect("a slot");
+        let table_entry = listener.connections.open(slot);
         let serving = Box::pin(listener.clone().serve_connection(agent_end, table_entry.clone()));
         TestConnection { client: client_end, table_entry, serving }
     }
--- a/crates/balancer-agent/src/listener/validation.rs
+++ b/crates/balancer-agent/src/listener/validation.rs
@@ -3,14 +3,14 @@
 
 use super::invalid_request::InvalidRequest;
 use super::time_limits::READ_TIMEOUT;
+use crate::body::{collect_body, BodyError};
 use crate::driver::Driver;
 use crate::headers::forwarded_headers;
+use crate::memory::{MemoryBudget, Purpose};
 use crate::request::ClientRequest;
 use crate::upstream::MAX_BODY_BYTES;
 use balancer_core::{ClassId, Effect, RoutingKey, Span, TenantId};
 use balancer_settings::hash_name;
-use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::HeaderMap;
 use hyper::http::request::Parts;
@@ -41,6 +41,13 @@
 const RESPONSE_WRITE_TIME: Duration = Duration::from_millis(6);
 /// The timeout divided by this number is the maximum time that is reserved for writing the response.
 const RESPONSE_WRITE_DIVISOR: u32 = 4;
+/// The memory that a request takes in addition to its head and body, in bytes: its state in the handler, the
+/// driver and the balancer.
+const REQUEST_OVERHEAD_BYTES: usize = 3 << 10;
+/// The number of copies of a request's head: as received, as forwarded, and as it is written to a server.
+const HEAD_COPIES: usize = 3;
+/// The memory that a header field takes in addition to its name and value, in bytes.
+const FIELD_BYTES: usize = 112;
 /// The maximum timeout of a request.
 const MAX_TIMEOUT: Duration = Duration::from_secs(600);
 
@@ -52,6 +59,7 @@
 pub async fn read_request(
     request: Request<Incoming>,
     driver: &Driver,
+    memory: &MemoryBudget,
 ) -> Result<ClientRequest, InvalidRequest> {
     let (head, body) = request.into_parts();
     let settings = driver.host_settings();
@@ -60,7 +68,12 @@
     let tenant = tenant_of(&head, &settings.tenant_names)?;
     let client_timeout = timeout_of(&head)?;
     check_effect(driver.effect_of(class), &head)?;
-    let body = read_body(body).await?;
+    let max_body_size = max_body_size(&body)?;
+    let request_bytes = REQUEST_OVERHEAD_BYTES + head_memory(&head) + max_body_size;
+    let mut memory =
+        memory.try_reserve(Purpose::Request, request_bytes).ok_or(InvalidRequest::OutOfMemory)?;
+    let body = read_body(body, max_body_size).await?;
+    memory.shrink_to(request_bytes - max_body_size + body.len());
     Ok(ClientRequest {
         class,
         tenant,
@@ -71,7 +84,7 @@
         headers: forwarded_headers(&head.headers),
         method: head.method,
         uri: head.uri,
-        body,
+        body: memory.into_bytes(body),
         id_claim: None,
     })
 }
@@ -133,15 +146,28 @@
     Ok(())
 }
 
-/// Reads a request's body completely, within [`READ_TIMEOUT`].
-async fn read_body(body: Incoming) -> Result<Bytes, InvalidRequest> {
-    if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
+/// Returns the memory that the head of a request takes until the request has ended, in bytes.
+fn head_memory(head: &Parts) -> usize {
+    let fields = head.headers.iter();
+    let fields: usize = fields.map(|(name, value)| name.as_str().len() + value.len() + FIELD_BYTES).sum();
+    HEAD_COPIES * fields
+}
+
+/// Returns the maximum size of a request's body: the stated one, or the permitted one if none is stated.
+fn max_body_size(body: &Incoming) -> Result<usize, InvalidRequest> {
+    let size = body.size_hint();
+    if size.lower() > MAX_BODY_BYTES as u64 {
         return Err(InvalidRequest::BodyTooLarge);
     }
-    match timeout(READ_TIMEOUT, Limited::new(body, MAX_BODY_BYTES).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(InvalidRequest::BodyTooLarge),
-        Ok(Err(_)) => Err(InvalidRequest::IncompleteBody),
+    Ok(size.upper().map_or(MAX_BODY_BYTES, |size| size as usize))
+}
+
+/// Reads a request's body of at most `max_size` bytes completely, within [`READ_TIMEOUT`].
+async fn read_body(body: Incoming, max_size: usize) -> Result<Vec<u8>, InvalidRequest> {
+    match timeout(READ_TIMEOUT, collect_body(body, max_size, || ())).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyError::TooLong)) => Err(InvalidRequest::BodyTooLarge),
+        Ok(Err(BodyError::Incomplete)) => Err(InvalidRequest::IncompleteBody),
         Err(_) => Err(InvalidRequest::BodyTimeout),
     }
 }
--- a/crates/balancer-agent/src/main.rs
+++ b/crates/balancer-agent/src/main.rs
@@ -3,6 +3,7 @@
 //! The agent runs beside its clients, accepts their HTTP/1.1 requests, and sends them over HTTP/1.1 to the
 //! servers that [`balancer_core`] selects.
 
+mod body;
 mod clock;
 mod config;
 mod discovery;
@@ -13,6 +14,7 @@
 mod http_client;
 mod listener;
 mod logging;
+mod memory;
 mod request;
 mod request_ids;
 mod upstream;
@@ -22,6 +24,7 @@
 use driver::Driver;
 use listener::Listener;
 use logging::log_line;
+use memory::MemoryBudget;
 use std::io;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -110,9 +113,11 @@
     let bound_address = socket.local_addr().map_err(listen_error)?;
     let longest_timeout = longest_timeout(&config.settings);
     let limits = SocketLimits::divide(config.max_sockets);
-    let driver = Driver::start(config, limits.servers)?;
+    let memory = MemoryBudget::for_process(config.max_memory_bytes);
+    log_line!("{name}: {} bytes of memory for connections and messages", memory.capacity());
+    let driver = Driver::start(config, limits.servers, memory.clone())?;
     let mut driver_task = tokio::task::spawn_local(driver.clone().run());
-    let listener = Listener::new(driver.clone(), limits.clients, longest_timeout);
+    let listener = Listener::new(driver.clone(), limits.clients, longest_timeout, memory);
     let accept_task = tokio::task::spawn_local(listener.clone().accept(socket));
     log_line!("{name}: listening on {bound_address}");
 
--- /dev/null
+++ b/crates/balancer-agent/src/memory/tests.rs
@@ -0,0 +1,119 @@
+//! Tests of what the budget grants, and in which order.
+
+use super::*;
+use std::task::{Context, Poll, Waker};
+
+const CAPACITY: usize = 800 << 10;
+const LARGE: usize = 64 << 10;
+
+fn budget() -> MemoryBudget {
+    MemoryBudget::with_capacity(CAPACITY)
+}
+
+/// Reserves large blocks until none is granted.
+fn fill(budget: &MemoryBudget, purpose: Purpose) -> Vec<Reservation> {
+    std::iter::from_fn(|| budget.try_reserve(purpose, LARGE)).collect()
+}
+
+/// Polls a future once, without a runtime.
+fn poll_now<F: Future>(future: Pin<&mut F>) -> Poll<F::Output> {
+    future.poll(&mut Context::from_waker(Waker::noop()))
+}
+
+#[test]
+fn large_requests_leave_memory_for_responses_and_both_for_small_messages() {
+    let budget = budget();
+    let requests = fill(&budget, Purpose::Request);
+    assert_eq!(requests.len(), CAPACITY / 2 / LARGE);
+
+    let responses = fill(&budget, Purpose::Response);
+    assert_eq!(requests.len() + responses.len(), CAPACITY / 4 * 3 / LARGE);
+
+    let small = std::iter::from_fn(|| budget.try_reserve(Purpose::Request, MAX_SMALL_BYTES));
+    let small: Vec<Reservation> = small.collect();
+    assert!(small.len() >= CAPACITY / 4 / MAX_SMALL_BYTES);
+    assert!(budget.reserved() <= CAPACITY);
+}
+
+#[test]
+fn connections_leave_memory_for_messages() {
+    let budget = budget();
+    let mut connections = fill(&budget, Purpose::ServerConnection);
+    let server_connections = connections.len();
+    assert_eq!(server_connections, CAPACITY / 8 * 5 / LARGE);
+
+    connections.extend(fill(&budget, Purpose::ClientConnection));
+
+    assert!(connections.len() > server_connections, "clients can still connect");
+    assert!(budget.try_reserve(Purpose::Request, MAX_SMALL_BYTES).is_some());
+}
+
+#[test]
+fn dropped_and_shrunk_reservations_are_free_again() {
+    let budget = budget();
+    let mut reservation = budget.try_reserve(Purpose::Response, LARGE).expect("the budget is empty");
+    reservation.shrink_to(1_000);
+    assert_eq!((reservation.bytes(), budget.reserved()), (1_000, 1_000));
+
+    let bytes = reservation.into_bytes(vec![7; 1_000]);
+    let part = bytes.slice(10..20);
+    drop(bytes);
+    assert_eq!(budget.reserved(), 1_000, "a part of the bytes is in use");
+
+    drop(part);
+    assert_eq!(budget.reserved(), 0);
+}
+
+#[test]
+fn empty_bytes_keep_their_reservation() {
+    let budget = budget();
+    let reservation = budget.try_reserve(Purpose::Request, 1_000).expect("the budget is empty");
+    let bytes = reservation.into_bytes(Vec::new());
+    assert_eq!(budget.reserved(), 1_000);
+
+    drop(bytes);
+    assert_eq!(budget.reserved(), 0);
+}
+
+#[test]
+fn waiting_reservations_are_granted_in_order_as_soon_as_memory_is_released() {
+    let budget = budget();
+    let mut held = fill(&budget, Purpose::Response);
+    let mut first = Box::pin(budget.reserve(Purpose::Response, LARGE));
+    let mut second = Box::pin(budget.reserve(Purpose::Response, LARGE));
+    assert!(poll_now(first.as_mut()).is_pending());
+    assert!(poll_now(second.as_mut()).is_pending());
+
+    held.pop();
+
+    assert!(poll_now(second.as_mut()).is_pending(), "the first one comes before it");
+    let first = poll_now(first.as_mut());
+    assert!(first.is_ready());
+    assert!(poll_now(second.as_mut()).is_pending());
+    drop(first);
+    assert!(poll_now(second.as_mut()).is_ready());
+}
+
+#[test]
+fn a_wait_that_is_given_up_does_not_block_the_next_one() {
+    let budget = budget();
+    let mut held = fill(&budget, Purpose::Response);
+    let mut first = Box::pin(budget.reserve(Purpose::Response, LARGE));
+    let mut second = Box::pin(budget.reserve(Purpose::Response, LARGE));
+    assert!(poll_now(first.as_mut()).is_pending());
+    assert!(poll_now(second.as_mut()).is_pending());
+
+    drop(first);
+    held.pop();
+
+    assert!(poll_now(second.as_mut()).is_ready());
+}
+
+#[test]
+fn the_budget_of_a_process_leaves_memory_for_the_process() {
+    for memory_limit in [32_000_000, 192_000_000, 2_000_000_000] {
+        let capacity = MemoryBudget::for_process(memory_limit).capacity();
+        assert!(capacity <= memory_limit - PROCESS_BYTES);
+    }
+    assert_eq!(MemoryBudget::for_process(0).capacity(), MIN_CAPACITY_BYTES);
+}
--- a/crates/balancer-agent/src/request.rs
+++ b/crates/balancer-agent/src/request.rs
@@ -16,7 +16,7 @@
     pub uri: Uri,
     /// The headers that are forwarded to servers.
     pub headers: HeaderMap,
-    /// The request's body.
+    /// The request's body, which keeps the memory of the whole request reserved.
     pub body: Bytes,
     /// The request's class.
     pub class: ClassId,
--- a/crates/balancer-agent/src/upstream/client.rs
+++ b/crates/balancer-agent/src/upstream/client.rs
@@ -5,11 +5,13 @@
 use super::request_write::RequestWrite;
 use super::response::{body_end_of, load_report_of, outcome_of, parse_load_report, BodyEnd};
 use super::{MAX_BODY_BYTES, MAX_HEAD_BYTES};
+use crate::body::collect_body;
+use crate::memory::{MemoryBudget, Purpose};
 use crate::request::ServedResponse;
 use balancer_core::{Outcome, ServerId};
-use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::{Body, Incoming};
 use hyper::header::CONTENT_TYPE;
 use hyper::{Request, Response};
 use std::rc::Rc;
@@ -27,20 +29,25 @@
 /// parts is within its own limit.
 const MAX_RESPONSE_BYTES: u64 = 2 * (MAX_BODY_BYTES + MAX_HEAD_BYTES) as u64;
 
+/// The memory that a response takes in addition to its body, in bytes.
+const RESPONSE_OVERHEAD_BYTES: usize = 1 << 10;
+
 /// The error of an exchange whose connection broke or whose server violated the protocol.
 struct ExchangeError;
 
 /// A client that sends attempts and health checks to servers over pooled connections.
 pub struct ServerClient {
     pool: Rc<ConnectionPool>,
+    /// The budget that the memory of responses is taken from.
+    memory: MemoryBudget,
     /// The names of the fields of a load report; empty if servers send no load reports.
     load_report_fields: Vec<String>,
 }
 
 impl ServerClient {
-    /// Creates a client that uses the connections of a pool.
-    pub fn new(pool: Rc<ConnectionPool>, load_report_fields: Vec<String>) -> Self {
-        ServerClient { pool, load_report_fields }
+    /// Creates a client that uses the connections of a pool. Responses take their memory from `memory`.
+    pub fn new(pool: Rc<ConnectionPool>, memory: MemoryBudget, load_report_fields: Vec<String>) -> Self {
+        ServerClient { pool, memory, load_report_fields }
     }
 
     /// Returns the connection pool.
@@ -147,7 +154,7 @@
             return Ok(AttemptResult { outcome, load_report, response: None });
         }
         let body_end = body_end_of(&response).ok_or(ExchangeError)?;
-        let response = read_response(response, on_response_part).await?;
+        let response = self.read_response(response, on_response_part).await?;
         // The end of the connection ends a body only if it is orderly. The bodies of other responses are not
         // used, so it does not matter whether they are truncated.
         let must_end_orderly = outcome == Outcome::Success && body_end == BodyEnd::Connection;
@@ -159,6 +166,23 @@
         Ok(AttemptResult { outcome, load_report, response })
     }
 
+    /// Reads the body of a response, and calls `on_part` for each part of it that arrives. Nothing is read until
+    /// there is memory for the whole body. Returns an error if the body is truncated or exceeds
+    /// [`MAX_BODY_BYTES`].
+    async fn read_response(
+        &self,
+        response: Response<Incoming>,
+        on_part: impl Fn(),
+    ) -> Result<ServedResponse, ExchangeError> {
+        let content_type = response.headers().get(CONTENT_TYPE).cloned();
+        let body = response.into_body();
+        let max_size = body.size_hint().upper().map_or(MAX_BODY_BYTES, |size| size as usize);
+        let max_size = max_size.min(MAX_BODY_BYTES);
+        let memory = self.memory.reserve(Purpose::Response, RESPONSE_OVERHEAD_BYTES + max_size).await;
+        let body = collect_body(body, max_size, on_part).await.map_err(|_| ExchangeError)?;
+        Ok(ServedResponse { content_type, body: memory.into_bytes(body) })
+    }
+
     /// Releases a connection to the pool as soon as the connection can carry another request.
     ///
     /// If the server has sent more than the response, hyper closes the connection instead. The response is
@@ -181,23 +205,5 @@
     }
 }
 
-/// Reads the body of a response, and calls `on_part` for each part of it that arrives. Returns an error if the
-/// body is truncated or exceeds [`MAX_BODY_BYTES`].
-async fn read_response(
-    response: Response<Incoming>,
-    on_part: impl Fn(),
-) -> Result<ServedResponse, ExchangeError> {
-    let content_type = response.headers().get(CONTENT_TYPE).cloned();
-    let mut incoming = Limited::new(response.into_body(), MAX_BODY_BYTES);
-    let mut body = BytesMut::new();
-    while let Some(frame) = incoming.frame().await {
-        on_part();
-        if let Ok(data) = frame.map_err(|_| ExchangeError)?.into_data() {
-            body.extend_from_slice(&data);
-        }
-    }
-    Ok(ServedResponse { content_type, body: body.freeze() })
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/balancer-agent/src/upstream/client/tests.rs
+++ b/crates/balancer-agent/src/upstream/client/tests.rs
@@ -24,12 +24,13 @@
     let address = listener.local_addr().expect("an address");
     let limits =
         PoolLimits { max_connections: 10, connect_timeout: CONNECT_TIMEOUT, keepalive: LONG_TIMEOUT };
-    let pool = ConnectionPool::new(limits);
+    let memory = MemoryBudget::with_capacity(8 << 20);
+    let pool = ConnectionPool::new(limits, memory.clone());
     let list = serde_json::json!({"seq": 1, "hosts": [
         {"host": "s", "dial": address.to_string(), "health": "up"}]});
     let list = EndpointList::parse(&list).expect("a list");
     pool.update_server(SERVER, &list.entries[0]);
-    ServerClient::new(pool, load_report_fields)
+    ServerClient::new(pool, memory, load_report_fields)
 }
 
 fn response(body: &str) -> Vec<u8> {
--- a/crates/balancer-agent/src/upstream/pool.rs
+++ b/crates/balancer-agent/src/upstream/pool.rs
@@ -10,6 +10,7 @@
 pub use connection::{Connection, REUSE_DELAY};
 
 use crate::endpoint_list::{EndpointEntry, EntryStatus};
+use crate::memory::MemoryBudget;
 use addresses::ServersByAddress;
 use balancer_core::{Outcome, ServerId};
 use connection::ConnectionTarget;
@@ -64,12 +65,12 @@
 }
 
 impl ConnectionPool {
-    /// Creates a pool without servers.
-    pub fn new(limits: PoolLimits) -> Rc<Self> {
+    /// Creates a pool without servers. Its connections take their memory from `memory`.
+    pub fn new(limits: PoolLimits, memory: MemoryBudget) -> Rc<Self> {
         Rc::new(ConnectionPool {
             connect_timeout: limits.connect_timeout,
             max_idle_time: limits.keepalive.mul_f64(MAX_IDLE_FRACTION),
-            slots: ConnectionSlots::new(limits.max_connections),
+            slots: ConnectionSlots::new(limits.max_connections, memory),
             servers: RefCell::default(),
             servers_by_address: RefCell::default(),
             incarnations: IncarnationCounter::default(),
@@ -155,7 +156,7 @@
     ///
     /// # Errors
     ///
-    /// * [`Outcome::NotSent`] if no connection slot is free, the server's address is unknown or the server
+    /// * [`Outcome::NotSent`] if no connection slot or no memory is free, the server's address is unknown or the server
     ///   accepts no new requests. For an attempt, this does not count as a failure of the server. A health
     ///   check with this outcome has failed, so that the balancer may eject or suspect the server.
     /// * [`Outcome::ConnectFailed`] if the connection could not be opened in time.
@@ -189,7 +190,7 @@
     /// Opens a connection in a separate task. If the caller stops waiting, the connection is released to the
     /// pool for a later exchange, because opening it has cost the server work.
     async fn connect(self: &Rc<Self>, target: ConnectionTarget) -> Result<Connection, Outcome> {
-        let slot = self.reserve_slot().ok_or(Outcome::NotSent)?;
+        let slot = self.reserve_slot().await.ok_or(Outcome::NotSent)?;
         let (sender, receiver) = oneshot::channel();
         let pool = self.clone();
         tokio::task::spawn_local(async move {
@@ -202,17 +203,23 @@
         receiver.await.ok().flatten().ok_or(Outcome::ConnectFailed)
     }
 
-    /// Reserves a slot for one more connection. If all slots are in use, closes the connection that has been
-    /// idle for longest to free its slot. Returns `None` if all slots are in use and no connection is idle.
-    fn reserve_slot(&self) -> Option<ConnectionSlot> {
-        if self.slots.is_exhausted() && !self.close_least_recently_used() {
-            return None;
+    /// Reserves a slot for one more connection. If all slots are in use or memory is short, closes the
+    /// connection that has been idle for longest in its favour. Returns `None` if no connection is idle then.
+    async fn reserve_slot(&self) -> Option<ConnectionSlot> {
+        loop {
+            if let Some(slot) = self.slots.reserve() {
+                return Some(slot);
+            }
+            if !self.close_least_recently_used() {
+                return None;
+            }
+            // The task of the closed connection ends, and frees its slot, before this one continues.
+            tokio::task::yield_now().await;
         }
-        Some(self.slots.reserve())
     }
 
     /// Closes the connection that has been idle for longest. Returns `false` if no connection is idle.
-    fn close_least_recently_used(&self) -> bool {
+    pub fn close_least_recently_used(&self) -> bool {
         let mut servers = self.servers.borrow_mut();
         let with_idle = servers.values_mut().filter(|pooled| pooled.idle().oldest_idle_since().is_some());
         let oldest = with_idle.min_by_key(|pooled| pooled.idle().oldest_idle_since());
--- a/crates/balancer-agent/src/upstream/pool/tests.rs
+++ b/crates/balancer-agent/src/upstream/pool/tests.rs
@@ -7,11 +7,12 @@
 const OTHER_SERVER: ServerId = ServerId(2);
 
 fn pool() -> Rc<ConnectionPool> {
-    ConnectionPool::new(PoolLimits {
+    let limits = PoolLimits {
         max_connections: 2,
         connect_timeout: Duration::from_secs(1),
         keepalive: Duration::from_secs(10),
-    })
+    };
+    ConnectionPool::new(limits, MemoryBudget::with_capacity(1 << 20))
 }
 
 fn entry(status: &str) -> EndpointEntry {
@@ -71,10 +72,11 @@
 
 #[test]
 fn a_dropped_slot_is_free_again() {
-    let slots = ConnectionSlots::new(2);
+    let slots = ConnectionSlots::new(2, MemoryBudget::with_capacity(1 << 20));
     let first = slots.reserve();
     let _second = slots.reserve();
-    assert!(slots.is_exhausted());
+    assert!(first.is_some() && slots.is_exhausted());
+    assert!(slots.reserve().is_none());
 
     drop(first);
 
--- a/crates/balancer-agent/tests/common/config.rs
+++ b/crates/balancer-agent/tests/common/config.rs
@@ -58,6 +58,12 @@
         self
     }
 
+    /// Sets the memory that the process may use, in MB.
+    pub fn with_memory_limit_mb(mut self, megabytes: u64) -> Self {
+        self.0["limits"]["memory_mb"] = megabytes.into();
+        self
+    }
+
     /// Sets the discovery mode `pushed`, in which discovery sends updates without a call. Only the simulator
     /// implements this mode.
     pub fn with_pushed_discovery(mut self) -> Self {
--- a/crates/balancer-agent/tests/common/mod.rs
+++ b/crates/balancer-agent/tests/common/mod.rs
@@ -5,6 +5,7 @@
 pub mod agent;
 pub mod client;
 pub mod config;
+pub mod crowd;
 pub mod discovery;
 pub mod kernel;
 pub mod messages;
--- a/crates/balancer-agent/tests/common/server.rs
+++ b/crates/balancer-agent/tests/common/server.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, Notify};
@@ -45,6 +46,10 @@
     Reset(Vec<u8>),
     /// The server sends these bytes once the gate releases them, and keeps the connection open.
     WhenReleased(ResponseGate, Vec<u8>),
+    /// The server sends these bytes after a delay, and keeps the connection open.
+    Delayed(Duration, Vec<u8>),
+    /// The server sends a head without a length and then bytes until the agent closes the connection.
+    Endless,
     /// The server sends nothing and keeps the connection open.
     Silent,
 }
@@ -67,6 +72,14 @@
                 gate.wait().await;
                 stream.write_all(&bytes).await.unwrap_or(());
             }
+            ServerReply::Delayed(delay, bytes) => {
+                tokio::time::sleep(delay).await;
+                stream.write_all(&bytes).await.unwrap_or(());
+            }
+            ServerReply::Endless => {
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n").await;
+                while stream.write_all(&[b'x'; 4096]).await.is_ok() {}
+            }
             ServerReply::Silent => {}
         }
     }
