Log what is refused, not served, timed out or evicted, and count it

Each request that is refused or gets no server's response is logged with its id and the reason, each failed attempt with id, number, server and outcome, and each client connection that is closed at a time limit or for another one.

--- a/crates/balancer-agent/src/driver.rs
+++ b/crates/balancer-agent/src/driver.rs
@@ -12,6 +12,7 @@
 mod requests;
 mod timers;
 
+use crate::activity::{self, ActivityLog};
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::discovery::{WatchEvent, WatchHandler};
@@ -21,15 +22,15 @@
 use crate::request::{ClientRequest, SubmittedRequest};
 use crate::upstream::{AttemptResult, ConnectionPool, PoolLimits, ServerClient};
 use balancer_core::{
-    Action, AttemptId, Balancer, ClassId, Effect, Endpoint, EndpointUpdate, Event, Notice, RequestId,
-    ServerId, SettingsError, Span,
+    Action, AttemptId, Balancer, ClassId, Effect, Endpoint, EndpointUpdate, Event, Notice, Outcome,
+    RequestId, ServerId, SettingsError, Span,
 };
 use balancer_settings::HostSettings;
 use endpoint_watch::EndpointWatch;
 use event_queue::EventQueue;
 use notice_text::format_notice;
 use outgoing::build_outgoing_request;
-use requests::RequestTracker;
+use requests::{RequestTracker, StartedAttempt};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -44,6 +45,7 @@
 
 /// A running balancer, with the connections, timers and requests that its actions refer to.
 pub struct Driver {
+    activity: ActivityLog,
     clock: Clock,
     host_settings: HostSettings,
     /// The effect of each request class, indexed by [`ClassId`].
@@ -93,6 +95,7 @@
         let mut start_actions = Vec::new();
         balancer.start(clock.now(), &mut start_actions);
         let driver = Rc::new(Driver {
+            activity: ActivityLog::new(config.name, memory.clone()),
             clock,
             effects,
             events: RefCell::new(EventQueue::new(balancer)),
@@ -113,6 +116,11 @@
         Ok(driver)
     }
 
+    /// Returns the log of what is not served.
+    pub fn activity(&self) -> &ActivityLog {
+        &self.activity
+    }
+
     /// Returns the settings that the host of the balancer needs: names and connection timeouts.
     pub fn host_settings(&self) -> &HostSettings {
         &self.host_settings
@@ -168,6 +176,7 @@
             self.handle_events();
             if Instant::now() >= next_maintenance {
                 self.client.pool().close_stale();
+                self.activity.end_interval_if_due();
                 logging::write_pending_lines();
                 next_maintenance = Instant::now() + MAINTENANCE_INTERVAL;
             }
@@ -244,10 +253,25 @@
             if !result.outcome.proves_not_run() {
                 attempt.request.record_possible_run();
             }
+            if result.outcome != Outcome::Success {
+                driver.log_failed_attempt(&attempt, server, result.outcome);
+            }
             driver.end_attempt(attempt.id, result, elapsed_since(sent_at));
         });
     }
 
+    fn log_failed_attempt(&self, attempt: &StartedAttempt, server: ServerId, outcome: Outcome) {
+        let endpoint_watch = self.endpoint_watch.borrow();
+        let server = endpoint_watch.server_names().name(server).unwrap_or_default();
+        let id = attempt.request.id();
+        self.activity.record(&activity::Event::AttemptFailed {
+            id,
+            attempt: attempt.id.attempt,
+            server,
+            outcome,
+        });
+    }
+
     /// Records the result of an attempt and reports the outcome to the balancer.
     fn end_attempt(self: &Rc<Self>, id: AttemptId, result: AttemptResult, elapsed: Span) {
         self.requests.borrow_mut().end_attempt(id, result.outcome, result.response);
--- a/crates/balancer-agent/src/headers.rs
+++ b/crates/balancer-agent/src/headers.rs
@@ -1,7 +1,9 @@
-//! The selection of the headers of a client's request that are forwarded to servers.
+//! The headers of a client's request, and the selection of those that are forwarded to servers.
 
 use hyper::header::HeaderMap;
 
+/// The header with a request's id.
+pub const REQUEST_ID_HEADER: &str = "x-request-id";
 /// The headers that are not forwarded, because they apply only to the client's connection or because the
 /// agent sets its own value.
 const NOT_FORWARDED: [&str; 12] = [
@@ -19,6 +21,11 @@
     "x-timeout",
 ];
 
+/// Returns the value of a header, or `None` if the header is missing or its value is not ASCII text.
+pub fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
 /// Returns the headers that are forwarded: all except those in [`NOT_FORWARDED`] and those that a
 /// `Connection` header lists.
 pub fn forwarded_headers(headers: &HeaderMap) -> HeaderMap {
--- a/crates/balancer-agent/src/listener.rs
+++ b/crates/balancer-agent/src/listener.rs
@@ -103,7 +103,9 @@
         let state = connection.state().clone();
         let service = service_fn(move |request| listener.clone().respond(request, state.clone()));
         let slot_usage = || self.connections.usage();
-        connection.serve(stream, service, slot_usage, &self.shutdown, self.longest_timeout).await;
+        let close_reason =
+            connection.serve(stream, service, slot_usage, &self.shutdown, self.longest_timeout).await;
+        self.request_handler.log_close(close_reason);
     }
 
     /// Returns the response to one request, with `Connection: close` if it is the last one on its connection.
--- a/crates/balancer-agent/src/listener/client_connection.rs
+++ b/crates/balancer-agent/src/listener/client_connection.rs
@@ -34,6 +34,17 @@
     }
 }
 
+/// Why the agent has stopped serving a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CloseReason {
+    /// The client has closed the connection or sent malformed bytes, or the last response has been written.
+    Finished,
+    /// The connection exceeded the time limit of this phase.
+    TimedOut(Phase),
+    /// The connection was closed to make room for another one.
+    Evicted,
+}
+
 /// A client connection that has been accepted. The task that serves the connection and the connection table
 /// share this value.
 pub struct ClientConnection {
@@ -77,7 +88,7 @@
     /// Serves the requests that are received over the stream, until the connection is closed.
     ///
     /// The connection is closed when the client closes it, a time limit expires, or it is evicted. During a
-    /// shutdown, it is closed after its last response. `slot_usage` returns the current slot usage.
+    /// shutdown, it is closed after its last response. Returns why it is closed. `slot_usage` returns the current slot usage.
     pub async fn serve<S>(
         &self,
         stream: TcpStream,
@@ -85,7 +96,8 @@
         slot_usage: impl Fn() -> SlotUsage,
         shutdown: &ShutdownSignal,
         longest_timeout: Duration,
-    ) where
+    ) -> CloseReason
+    where
         S: Service<Request<Incoming>, Response = ClientResponse, Error = Infallible>,
     {
         let limits = TimeLimits::starting_now(longest_timeout);
@@ -98,7 +110,7 @@
             let limit = limits.current(&self.state, slot_usage(), shutdown.schedule());
             let now = Instant::now();
             if limit.is_some_and(|limit| now >= limit) {
-                return;
+                return CloseReason::TimedOut(self.state.phase());
             }
             let next_check = now + LIMIT_CHECK_INTERVAL;
             let wake_at = limit.map_or(next_check, |limit| limit.min(next_check));
@@ -107,10 +119,10 @@
                 biased;
                 // An error means that the client has disconnected or has sent malformed bytes. Either affects
                 // only this connection.
-                _ = http_connection.as_mut() => return,
+                _ = http_connection.as_mut() => return CloseReason::Finished,
                 () = self.eviction_requested.notified() => {
                     if !self.has_request() {
-                        return;
+                        return CloseReason::Evicted;
                     }
                 }
                 _ = shutdown.started(), if !is_shutting_down => {
--- a/crates/balancer-agent/src/listener/request_handler.rs
+++ b/crates/balancer-agent/src/listener/request_handler.rs
@@ -1,11 +1,14 @@
 //! The handling of one client request, from its head to its final response.
 
+use super::client_connection::CloseReason;
 use super::invalid_request::InvalidRequest;
 use super::response::{text_response, ClientResponse};
 use super::shutdown::ShutdownSignal;
-use super::validation::{header_text, read_request, REQUEST_ID_HEADER};
+use super::validation::read_request;
+use crate::activity::{Event, LoggedId};
 use crate::driver::Driver;
-use crate::framing::{ConnectionState, FramingFault};
+use crate::framing::{ConnectionState, FramingFault, Phase};
+use crate::headers::{header_text, REQUEST_ID_HEADER};
 use crate::memory::MemoryBudget;
 use crate::request::ClientRequest;
 use crate::request_ids::{RequestIdClaim, RequestIds};
@@ -59,16 +62,36 @@
         if request.uri().path() == READINESS_PATH {
             return Ok(self.readiness_response(shutdown));
         }
+        let id = LoggedId::new(header_text(request.headers(), REQUEST_ID_HEADER).unwrap_or_default());
+        let result = self.handle_with_id(request, shutdown).await;
+        self.log_result(&id, &result);
+        result
+    }
+
+    /// Handles a request that is not a readiness request, like [`RequestHandler::handle`].
+    async fn handle_with_id(
+        &self,
+        request: Request<Incoming>,
+        shutdown: &ShutdownSignal,
+    ) -> Result<ClientResponse, InvalidRequest> {
         let mut request = read_request(request, &self.driver, &self.memory).await?;
         let _claim = self.claim_id(&mut request)?;
         Ok(self.submit_and_wait(request, shutdown).await)
     }
 
+    fn log_result(&self, id: &LoggedId, result: &Result<ClientResponse, InvalidRequest>) {
+        let activity = self.driver.activity();
+        match result {
+            Ok(response) if response.status() == StatusCode::OK => activity.record_served(),
+            Ok(response) => activity.record(&Event::Unserved { id, status: response.status() }),
+            Err(reason) => activity.record(&Event::Refused { id, reason }),
+        }
+    }
+
     /// Claims the id of a request. The claim belongs to the request, which lasts until all attempts have ended,
     /// if the request may not run twice. Otherwise, returns the claim, which ends with the response.
     fn claim_id(&self, request: &mut ClientRequest) -> Result<Option<RequestIdClaim>, InvalidRequest> {
-        let id = header_text(&request.headers, REQUEST_ID_HEADER).unwrap_or_default();
-        let claim = self.request_ids.claim(id)?;
+        let claim = self.request_ids.claim(request.id())?;
         if self.driver.effect_of(request.class) == Effect::Idempotent {
             return Ok(Some(claim));
         }
@@ -93,6 +116,17 @@
         }
     }
 
+    /// Logs the close of a connection if its client may still have needed it. Idle connections, connections
+    /// without a request and those that wait for the client's close are closed as a matter of course.
+    pub fn log_close(&self, reason: CloseReason) {
+        let activity = self.driver.activity();
+        match reason {
+            CloseReason::Finished | CloseReason::TimedOut(Phase::Silent | Phase::Idle | Phase::Closing) => {}
+            CloseReason::TimedOut(phase) => activity.record(&Event::TimedOut { phase }),
+            CloseReason::Evicted => activity.record(&Event::Evicted),
+        }
+    }
+
     /// Returns the response to a readiness request.
     fn readiness_response(&self, shutdown: &ShutdownSignal) -> ClientResponse {
         if self.driver.is_ready() && !shutdown.has_started() {
--- a/crates/balancer-agent/src/listener/validation.rs
+++ b/crates/balancer-agent/src/listener/validation.rs
@@ -5,21 +5,18 @@
 use super::time_limits::READ_TIMEOUT;
 use crate::body::{collect_body, BodyError};
 use crate::driver::Driver;
-use crate::headers::forwarded_headers;
+use crate::headers::{forwarded_headers, header_text, REQUEST_ID_HEADER};
 use crate::memory::{MemoryBudget, Purpose};
 use crate::request::ClientRequest;
 use crate::upstream::MAX_BODY_BYTES;
 use balancer_core::{ClassId, Effect, RoutingKey, Span, TenantId};
 use balancer_settings::hash_name;
 use hyper::body::{Body, Incoming};
-use hyper::header::HeaderMap;
 use hyper::http::request::Parts;
 use hyper::Request;
 use std::time::Duration;
 use tokio::time::{timeout, Instant};
 
-/// The header with a request's id.
-pub const REQUEST_ID_HEADER: &str = "x-request-id";
 /// The header with the name of a request's class.
 const CLASS_HEADER: &str = "x-priority-class";
 /// The header with the name of the tenant that sends a request.
@@ -190,11 +187,6 @@
     Some(Span::from_millis_f64(micros / 1e3))
 }
 
-/// Returns the value of a header, or `None` if the header is missing or its value is not ASCII text.
-pub fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    headers.get(name).and_then(|value| value.to_str().ok())
-}
-
 /// Parses a timeout such as `480m` (milliseconds) or `900u` (microseconds). Returns `None` if the text has
 /// another form, or if the timeout is zero or above [`MAX_TIMEOUT`].
 fn parse_timeout(text: &str) -> Option<Duration> {
--- a/crates/balancer-agent/src/main.rs
+++ b/crates/balancer-agent/src/main.rs
@@ -3,6 +3,7 @@
 //! The agent runs beside its clients, accepts their HTTP/1.1 requests, and sends them over HTTP/1.1 to the
 //! servers that [`balancer_core`] selects.
 
+mod activity;
 mod body;
 mod clock;
 mod config;
@@ -121,7 +122,7 @@
     let accept_task = tokio::task::spawn_local(listener.clone().accept(socket));
     log_line!("{name}: listening on {bound_address}");
 
-    tokio::task::spawn_local(reload_on_hangup(hangup, driver, name.clone()));
+    tokio::task::spawn_local(reload_on_hangup(hangup, driver.clone(), name.clone()));
     tokio::select! {
         _ = terminate.recv() => {}
         // The driver's task ends only if it panics. Without it, the balancer's timers would never be due, and
@@ -129,6 +130,7 @@
         _ = &mut driver_task => return Err(AgentError::DriverStopped),
     }
     listener.shut_down(accept_task).await;
+    driver.activity().log_summary();
     log_line!("{name}: all requests are answered");
     Ok(())
 }
--- a/crates/balancer-agent/src/memory.rs
+++ b/crates/balancer-agent/src/memory.rs
@@ -94,7 +94,6 @@
     }
 
     /// Returns the number of bytes that are reserved now.
-    #[cfg(test)]
     pub fn reserved(&self) -> usize {
         let usage = self.shared.usage();
         usage.connections + usage.messages
--- a/crates/balancer-agent/src/request.rs
+++ b/crates/balancer-agent/src/request.rs
@@ -1,5 +1,6 @@
 //! The requests that the listener submits to the driver, and the final responses that the driver returns.
 
+use crate::headers::{header_text, REQUEST_ID_HEADER};
 use crate::request_ids::RequestIdClaim;
 use balancer_core::{ClassId, RequestId, RoutingKey, Span, TenantId};
 use bytes::Bytes;
@@ -36,6 +37,11 @@
 }
 
 impl ClientRequest {
+    /// Returns the id that the client has given the request, or an empty text if it is not ASCII.
+    pub fn id(&self) -> &str {
+        header_text(&self.headers, REQUEST_ID_HEADER).unwrap_or_default()
+    }
+
     /// Records that a server may have run the request.
     pub fn record_possible_run(&self) {
         if let Some(claim) = &self.id_claim {
