--- a/crates/balancer-agent/tests/memory_limit.rs
+++ b/crates/balancer-agent/tests/memory_limit.rs
@@ -3,11 +3,12 @@
 
 mod common;
 use common::agent::Agent;
-use common::config::RequestClass;
+use common::config::{AgentConfig, RequestClass};
 use common::crowd::{Crowd, CrowdClient};
+use common::discovery::{up_entry, TestDiscovery};
 use common::messages::{get_request, ok_response, post_request, Message};
 use common::server::{ServerReply, TestServer};
-use common::setup::start_configured_agent;
+use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 use tokio::sync::{Mutex, MutexGuard};
 use tokio::time::sleep;
@@ -18,6 +19,8 @@
 const SOCKET_LIMIT: usize = 1_024;
 /// The number of clients of a crowd, which leaves some of the connection slots to others.
 const CROWD_SIZE: usize = 450;
+/// The number of servers of the largest fleet (STANDING page).
+const LARGEST_FLEET: usize = 3_200;
 /// The size of the longest body, in bytes (PROTOCOL page).
 const MAX_BODY_BYTES: usize = 64 << 10;
 /// How long the servers of the tests work on a request with a long response.
@@ -39,17 +42,25 @@
 
 impl Scenario {
     async fn start() -> Self {
+        Self::start_with_fleet(1).await
+    }
+
+    /// Starts the agent with an endpoint list of this many servers, of which only the first one listens.
+    async fn start_with_fleet(server_count: usize) -> Self {
         let turn = ONE_AT_A_TIME.lock().await;
         raise_descriptor_limit();
         let server = TestServer::start(reply).await;
-        let agent = start_configured_agent(server.address, |config| {
-            config
-                .with_memory_limit_mb(MEMORY_LIMIT_MB)
-                .with_socket_limit(SOCKET_LIMIT)
-                .with_class_timeout_ms(RequestClass::Read, 2_000)
-                .with_class_timeout_ms(RequestClass::Pay, 2_000)
-        })
-        .await;
+        let discovery = TestDiscovery::silent().await;
+        let addresses =
+            (0..server_count).map(|number| SocketAddr::new(loopback_ip(number), server.address.port()));
+        let names = (0..server_count).map(|number| format!("server-{number}"));
+        let entries: Vec<_> = names.zip(addresses).map(|(name, address)| up_entry(&name, address)).collect();
+        let config = AgentConfig::new(discovery.address, &entries)
+            .with_memory_limit_mb(MEMORY_LIMIT_MB)
+            .with_socket_limit(SOCKET_LIMIT)
+            .with_class_timeout_ms(RequestClass::Read, 2_000)
+            .with_class_timeout_ms(RequestClass::Pay, 2_000);
+        let agent = Agent::start(&config).await;
         Scenario { agent, _servers: vec![server], _turn: turn }
     }
 
@@ -89,6 +100,12 @@
     }
 }
 
+/// Returns the loopback address with this number, counted from 127.0.0.1.
+fn loopback_ip(number: usize) -> IpAddr {
+    let [high, low] = (number as u16 + 1).to_be_bytes();
+    IpAddr::from([127, 0, high, low])
+}
+
 /// Raises the limit on descriptors of the test's process, which holds both ends of most connections.
 fn raise_descriptor_limit() {
     use nix::sys::resource::{getrlimit, setrlimit, Resource};
@@ -232,6 +249,18 @@
     scenario.assert_limit_held().await;
 }
 
+/// The endpoint list names as many servers as the largest fleet. All but one refuse connections.
+#[tokio::test]
+async fn a_mixed_crowd_beside_the_largest_fleet() {
+    let scenario = Scenario::start_with_fleet(LARGEST_FLEET).await;
+    for _ in 0..2 {
+        let crowd = Crowd::send(scenario.agent.address, (0..CROWD_SIZE).map(mixed_client)).await;
+        sleep(Duration::from_millis(1_500)).await;
+        drop(crowd);
+    }
+    scenario.assert_limit_held().await;
+}
+
 /// More clients than the agent has connection slots for. The others wait to be accepted.
 #[tokio::test]
 async fn a_mixed_crowd_that_exceeds_the_connection_slots() {
