An attempt tells its server the time that is left when it is written

Change: it is computed once the connection is there, just before the request is written.

Evidence: an_attempt_tells_its_server_the_time_that_is_left_after_the_connect fails with the time computed before the connect (2,000,000 instead of 500,000 microseconds).

--- a/crates/balancer-agent/src/driver.rs
+++ b/crates/balancer-agent/src/driver.rs
@@ -245,8 +245,7 @@
         let AttemptDeadlines { timeout_at, write_by } = deadlines;
         let Some(attempt) = self.requests.borrow_mut().start_attempt(request, write_by) else { return };
         let sent_at = Instant::now();
-        let time_left = timeout_at.saturating_duration_since(sent_at);
-        let outgoing = build_outgoing_request(&attempt.request, time_left);
+        let outgoing = build_outgoing_request(&attempt.request);
         let driver = self.clone();
         spawn_local(async move {
             let result = driver.client.send_attempt(server, outgoing, timeout_at, &attempt.progress).await;
--- a/crates/balancer-agent/src/upstream/client.rs
+++ b/crates/balancer-agent/src/upstream/client.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
-use hyper::header::CONTENT_TYPE;
+use hyper::header::{HeaderName, HeaderValue, CONTENT_TYPE};
 use hyper::{Request, Response};
 use std::rc::Rc;
 use std::time::Duration;
@@ -32,6 +32,9 @@
 /// The memory that a response takes in addition to its body, in bytes.
 const RESPONSE_OVERHEAD_BYTES: usize = 1 << 10;
 
+/// The header that states how long the sender of a request waits for the response, in microseconds.
+const TIMEOUT_HEADER: HeaderName = HeaderName::from_static("x-timeout");
+
 /// The error of an exchange whose connection broke or whose server violated the protocol.
 struct ExchangeError;
 
@@ -55,7 +58,8 @@
         &self.pool
     }
 
-    /// Sends an attempt and waits for its result, but not after `deadline`.
+    /// Sends an attempt and waits for its result, but not after `deadline`. The attempt tells its server the time
+    /// that is left until then when it is written.
     pub async fn send_attempt(
         &self,
         server: ServerId,
@@ -66,7 +70,7 @@
         let failure = tokio::select! {
             biased;
             () = progress.cancelled() => Outcome::Cancelled,
-            result = timeout_at(deadline, self.try_attempt(server, request, progress)) => match result {
+            result = timeout_at(deadline, self.try_attempt(server, request, deadline, progress)) => match result {
                 Ok(Ok(result)) => return result,
                 Ok(Err(ExchangeError)) => Outcome::ConnectionReset,
                 Err(_) => Outcome::TimedOut,
@@ -87,7 +91,8 @@
     async fn try_attempt(
         &self,
         server: ServerId,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
+        deadline: Instant,
         progress: &AttemptProgress,
     ) -> Result<AttemptResult, ExchangeError> {
         let connection = match self.pool.acquire(server).await {
@@ -100,6 +105,7 @@
             self.pool.release(connection);
             return Ok(AttemptResult::without_response(Outcome::NotSent));
         }
+        request.headers_mut().insert(TIMEOUT_HEADER, timeout_value(deadline));
         let request_write = RequestWrite::new(&request, connection.socket_state());
         progress.start_writing(request_write.clone());
         let on_response_part = || progress.record_response_progress();
@@ -205,5 +211,12 @@
     }
 }
 
+/// Returns the value of a timeout header that states the time until `deadline`.
+fn timeout_value(deadline: Instant) -> HeaderValue {
+    let time_left = deadline.saturating_duration_since(Instant::now());
+    let text = format!("{}u", time_left.as_micros().max(1));
+    HeaderValue::try_from(text).unwrap_or(HeaderValue::from_static("1u"))
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/balancer-agent/src/upstream/client/tests.rs
+++ b/crates/balancer-agent/src/upstream/client/tests.rs
@@ -3,7 +3,10 @@
 use super::*;
 use crate::endpoint_list::EndpointList;
 use crate::upstream::PoolLimits;
+use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
+use std::pin::pin;
+use std::task::Poll;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::LocalSet;
@@ -83,6 +86,37 @@
     LocalSet::new().run_until(test).await;
 }
 
+/// A connect may take most of the time that the client waits. The attempt must not tell its server the time from
+/// before the connect.
+#[tokio::test(start_paused = true)]
+async fn an_attempt_tells_its_server_the_time_that_is_left_after_the_connect() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let client = client_of(&listener);
+    let progress = AttemptProgress::new(None);
+    let request = Request::get("/").body(Full::default()).expect("a request");
+    let deadline = Instant::now() + Duration::from_secs(2);
+    let server = async {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut head = vec![0; 256];
+        let length = stream.read(&mut head).await.expect("a request");
+        String::from_utf8_lossy(&head[..length]).into_owned()
+    };
+    let test = async {
+        let mut sent = pin!(client.send_attempt(SERVER, request, deadline, &progress));
+        let is_pending = poll_fn(|cx| Poll::Ready(sent.as_mut().poll(cx).is_pending())).await;
+        assert!(is_pending, "the connect is in progress");
+        tokio::time::advance(Duration::from_millis(1_500)).await;
+        tokio::select! {
+            _ = sent => panic!("the attempt ended"),
+            head = server => head,
+        }
+    };
+
+    let head = LocalSet::new().run_until(test).await;
+
+    assert!(head.contains("x-timeout: 500000u\r\n"), "{head}");
+}
+
 /// Guards against a slow response whose attempt counts as overdue: each part of it, the head included, must be
 /// visible to the driver.
 #[tokio::test(start_paused = true)]
