--- a/crates/balancer-agent/tests/common/agent.rs
+++ b/crates/balancer-agent/tests/common/agent.rs
@@ -111,13 +111,20 @@
 
     /// Returns the peak resident memory of the agent's process, in kB.
     pub fn peak_memory_kb(&self) -> usize {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.process_id()));
-        let status = status.expect("the process status should be readable");
-        let peak = status
-            .lines()
-            .find_map(|line| line.strip_prefix("VmHWM:"))
-            .expect("the process status should contain VmHWM");
-        peak.trim().trim_end_matches(" kB").parse().expect("VmHWM should be a number of kB")
+        self.try_peak_memory_kb().expect("the process status should contain VmHWM as a number of kB")
+    }
+
+    /// Returns the peak resident memory of the agent's process, in kB, or `None` if the process has ended.
+    pub fn try_peak_memory_kb(&self) -> Option<usize> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.process.id()?)).ok()?;
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        peak.trim().trim_end_matches(" kB").parse().ok()
+    }
+
+    /// Returns the number of descriptors that the agent's process has open, or 0 if it has ended.
+    pub fn descriptor_count(&self) -> usize {
+        let Some(id) = self.process.id() else { return 0 };
+        std::fs::read_dir(format!("/proc/{id}/fd")).map_or(0, Iterator::count)
     }
 
     /// Replaces the text of the configuration file. The agent reads the new text at the next SIGHUP.
--- a/crates/balancer-agent/tests/common/mod.rs
+++ b/crates/balancer-agent/tests/common/mod.rs
@@ -20,6 +20,13 @@
 /// machine.
 const TIME_LIMIT: Duration = Duration::from_secs(30);
 
+/// Raises the limit on descriptors of the test's process, which holds both ends of most connections.
+pub fn raise_descriptor_limit() {
+    use nix::sys::resource::{getrlimit, setrlimit, Resource};
+    let (_, hard_limit) = getrlimit(Resource::RLIMIT_NOFILE).expect("the limit should be readable");
+    setrlimit(Resource::RLIMIT_NOFILE, hard_limit, hard_limit).expect("the limit should be raised");
+}
+
 /// Waits for a future and returns its output.
 ///
 /// # Panics
--- a/crates/balancer-agent/tests/memory_limit.rs
+++ b/crates/balancer-agent/tests/memory_limit.rs
@@ -48,7 +48,7 @@
     /// Starts the agent with an endpoint list of this many servers, of which only the first one listens.
     async fn start_with_fleet(server_count: usize) -> Self {
         let turn = ONE_AT_A_TIME.lock().await;
-        raise_descriptor_limit();
+        common::raise_descriptor_limit();
         let server = TestServer::start(reply).await;
         let discovery = TestDiscovery::silent().await;
         let addresses =
@@ -106,13 +106,6 @@
     IpAddr::from([127, 0, high, low])
 }
 
-/// Raises the limit on descriptors of the test's process, which holds both ends of most connections.
-fn raise_descriptor_limit() {
-    use nix::sys::resource::{getrlimit, setrlimit, Resource};
-    let (_, hard_limit) = getrlimit(Resource::RLIMIT_NOFILE).expect("the limit should be readable");
-    setrlimit(Resource::RLIMIT_NOFILE, hard_limit, hard_limit).expect("the limit should be raised");
-}
-
 fn reply(request: &Message) -> ServerReply {
     let path = request.target();
     if path.ends_with("/long") {
