--- a/crates/balancer-agent/src/memory/tests.rs
+++ b/crates/balancer-agent/src/memory/tests.rs
@@ -16,7 +16,7 @@
 }
 
 /// Polls a future once, without a runtime.
-fn poll_now<F: Future>(future: Pin<&mut F>) -> Poll<F::Output> {
+fn poll_now<F: Future + ?Sized>(future: Pin<&mut F>) -> Poll<F::Output> {
     future.poll(&mut Context::from_waker(Waker::noop()))
 }
 
@@ -75,14 +75,30 @@
     assert_eq!(budget.reserved(), 0);
 }
 
+/// A full budget, and two waits for memory that have been polled once.
+struct TwoWaits<'a> {
+    held: Vec<Reservation>,
+    first: Pin<Box<dyn Future<Output = Reservation> + 'a>>,
+    second: Pin<Box<dyn Future<Output = Reservation> + 'a>>,
+}
+
+impl<'a> TwoWaits<'a> {
+    fn begin(budget: &'a MemoryBudget) -> Self {
+        let held = fill(budget, Purpose::Response);
+        let wait = || -> Pin<Box<dyn Future<Output = Reservation> + 'a>> {
+            let mut wait = Box::pin(budget.reserve(Purpose::Response, LARGE));
+            assert!(poll_now(wait.as_mut()).is_pending());
+            wait
+        };
+        let first = wait();
+        TwoWaits { held, first, second: wait() }
+    }
+}
+
 #[test]
 fn waiting_reservations_are_granted_in_order_as_soon_as_memory_is_released() {
     let budget = budget();
-    let mut held = fill(&budget, Purpose::Response);
-    let mut first = Box::pin(budget.reserve(Purpose::Response, LARGE));
-    let mut second = Box::pin(budget.reserve(Purpose::Response, LARGE));
-    assert!(poll_now(first.as_mut()).is_pending());
-    assert!(poll_now(second.as_mut()).is_pending());
+    let TwoWaits { mut held, mut first, mut second } = TwoWaits::begin(&budget);
 
     held.pop();
 
@@ -97,11 +113,7 @@
 #[test]
 fn a_wait_that_is_given_up_does_not_block_the_next_one() {
     let budget = budget();
-    let mut held = fill(&budget, Purpose::Response);
-    let mut first = Box::pin(budget.reserve(Purpose::Response, LARGE));
-    let mut second = Box::pin(budget.reserve(Purpose::Response, LARGE));
-    assert!(poll_now(first.as_mut()).is_pending());
-    assert!(poll_now(second.as_mut()).is_pending());
+    let TwoWaits { mut held, first, mut second } = TwoWaits::begin(&budget);
 
     drop(first);
     held.pop();
--- a/crates/balancer-agent/tests/memory_limit.rs
+++ b/crates/balancer-agent/tests/memory_limit.rs
@@ -32,8 +32,8 @@
 /// The tests run one after the other, because each uses hundreds of descriptors and a whole core.
 static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
 
-/// An agent with the least memory, and servers that respond to paths: `/long` after [`WORK_TIME`] with the
-/// longest body, `/endless` without an end, `/silent` never, and to all others at once.
+/// An agent with the least memory, and servers that respond to paths: `/long` and `/long-head` after [`WORK_TIME`]
+/// with the longest body, `/endless` without an end, `/silent` never, and to all others at once.
 struct Scenario {
     agent: Agent,
     _servers: Vec<TestServer>,
@@ -110,6 +110,8 @@
     let path = request.target();
     if path.ends_with("/long") {
         ServerReply::Delayed(WORK_TIME, ok_response(&"y".repeat(MAX_BODY_BYTES)))
+    } else if path.ends_with("/long-head") {
+        ServerReply::Delayed(WORK_TIME, response_with_long_head())
     } else if path.ends_with("/endless") {
         ServerReply::Endless
     } else if path.ends_with("/silent") {
@@ -119,6 +121,13 @@
     }
 }
 
+/// Returns a response with a head of nearly 16 KiB and the longest body.
+fn response_with_long_head() -> Vec<u8> {
+    let fields: Vec<String> = (0..90).map(|number| format!("X{number}: {}\r\n", "v".repeat(160))).collect();
+    let head = format!("HTTP/1.1 200 OK\r\n{}Content-Length: {MAX_BODY_BYTES}\r\n\r\n", fields.concat());
+    (head + &long_body()).into_bytes()
+}
+
 fn long_body() -> String {
     "b".repeat(MAX_BODY_BYTES)
 }
@@ -148,6 +157,14 @@
     }
 }
 
+/// Asserts that the limit holds while a crowd of these clients is connected and a quiet client sends requests.
+async fn assert_limit_holds_with(client: impl Fn(usize) -> CrowdClient) {
+    let scenario = Scenario::start().await;
+    let crowd = scenario.crowd(client, Duration::from_millis(2_500)).await;
+    drop(crowd);
+    scenario.assert_limit_held().await;
+}
+
 #[tokio::test]
 async fn clients_that_stop_within_their_bodies() {
     let scenario = Scenario::start().await;
@@ -161,54 +178,39 @@
 
 #[tokio::test]
 async fn whole_bodies_at_once_and_long_responses_that_are_not_read() {
-    let scenario = Scenario::start().await;
     let request = |_| CrowdClient::with_small_buffers(post_request("/pay/long", "2000m", &long_body()));
-    let crowd = scenario.crowd(request, Duration::from_millis(2_500)).await;
-    drop(crowd);
-    scenario.assert_limit_held().await;
+    assert_limit_holds_with(request).await;
 }
 
 #[tokio::test]
 async fn long_responses_to_small_requests_that_are_not_read() {
-    let scenario = Scenario::start().await;
     let request = |_| CrowdClient::with_small_buffers(get_request("/read/long", "2000m"));
-    let crowd = scenario.crowd(request, Duration::from_millis(2_500)).await;
-    drop(crowd);
-    scenario.assert_limit_held().await;
+    assert_limit_holds_with(request).await;
 }
 
 #[tokio::test]
 async fn large_heads_of_requests_in_flight() {
-    let scenario = Scenario::start().await;
     let request = |_| CrowdClient::sending(request_with_fields("/read/silent", 90, 160));
-    let crowd = scenario.crowd(request, Duration::from_millis(2_500)).await;
-    drop(crowd);
-    scenario.assert_limit_held().await;
+    assert_limit_holds_with(request).await;
 }
 
 #[tokio::test]
 async fn heads_of_very_many_short_fields_and_heads_that_never_end() {
-    let scenario = Scenario::start().await;
     let client = |number| {
         let request = request_with_fields("/read/quick", 3_200, 2);
         let whole_head = number % 2 == 0;
         CrowdClient::sending(if whole_head { &request } else { &request[..15_000] })
     };
-    let crowd = scenario.crowd(client, Duration::from_millis(2_500)).await;
-    drop(crowd);
-    scenario.assert_limit_held().await;
+    assert_limit_holds_with(client).await;
 }
 
 #[tokio::test]
 async fn pipelined_requests_behind_responses_that_are_not_read() {
-    let scenario = Scenario::start().await;
     let client = |_| {
         let requests: String = (0..40).map(|_| get_request("/read/long", "2000m")).collect();
         CrowdClient::with_small_buffers(requests)
     };
-    let crowd = scenario.crowd(client, Duration::from_millis(2_500)).await;
-    drop(crowd);
-    scenario.assert_limit_held().await;
+    assert_limit_holds_with(client).await;
 }
 
 /// The attempts of clients that have reset their connections go on until their deadlines.
@@ -224,11 +226,14 @@
 
 #[tokio::test]
 async fn responses_that_never_end() {
-    let scenario = Scenario::start().await;
     let request = |_| CrowdClient::sending(get_request("/read/endless", "2000m"));
-    let crowd = scenario.crowd(request, Duration::from_millis(2_500)).await;
-    drop(crowd);
-    scenario.assert_limit_held().await;
+    assert_limit_holds_with(request).await;
+}
+
+#[tokio::test]
+async fn responses_with_long_heads_that_arrive_at_once() {
+    let request = |_| CrowdClient::with_small_buffers(get_request("/read/long-head", "2000m"));
+    assert_limit_holds_with(request).await;
 }
 
 /// A crowd of several kinds of clients leaves and comes back at once, four times.
