A served response does not keep its server's head in memory

The content type of a response was a view of the buffer of its whole head (up to 16 KiB), which stayed in memory until the client had taken the response and was not part of any reservation.

Change: the value is copied.

--- a/crates/balancer-agent/src/upstream/client.rs
+++ b/crates/balancer-agent/src/upstream/client.rs
@@ -180,7 +180,9 @@
         response: Response<Incoming>,
         on_part: impl Fn(),
     ) -> Result<ServedResponse, ExchangeError> {
-        let content_type = response.headers().get(CONTENT_TYPE).cloned();
+        // A clone of the value would keep the whole head of the response in memory.
+        let content_type = response.headers().get(CONTENT_TYPE);
+        let content_type = content_type.and_then(|value| HeaderValue::from_bytes(value.as_bytes()).ok());
         let body = response.into_body();
         let max_size = body.size_hint().upper().map_or(MAX_BODY_BYTES, |size| size as usize);
         let max_size = max_size.min(MAX_BODY_BYTES);
--- a/crates/balancer-agent/tests/common/config.rs
+++ b/crates/balancer-agent/tests/common/config.rs
@@ -64,6 +64,12 @@
         self
     }
 
+    /// Sets the number of agents of the service. If they outnumber the servers, their views are sparse.
+    pub fn with_balancer_count(mut self, count: u64) -> Self {
+        self.0["settings"]["balancers"] = count.into();
+        self
+    }
+
     /// Sets the discovery mode `pushed`, in which discovery sends updates without a call. Only the simulator
     /// implements this mode.
     pub fn with_pushed_discovery(mut self) -> Self {
--- a/crates/balancer-agent/tests/memory_limit.rs
+++ b/crates/balancer-agent/tests/memory_limit.rs
@@ -21,6 +21,8 @@
 const CROWD_SIZE: usize = 450;
 /// The number of servers of the largest fleet (STANDING page).
 const LARGEST_FLEET: usize = 3_200;
+/// A number of agents that forward all requests at once, because they outnumber the servers.
+const AGENTS: u64 = 5_000;
 /// The size of the longest body, in bytes (PROTOCOL page).
 const MAX_BODY_BYTES: usize = 64 << 10;
 /// How long the servers of the tests work on a request with a long response.
@@ -41,12 +43,9 @@
 }
 
 impl Scenario {
-    async fn start() -> Self {
-        Self::start_with_fleet(1).await
-    }
-
-    /// Starts the agent with an endpoint list of this many servers, of which only the first one listens.
-    async fn start_with_fleet(server_count: usize) -> Self {
+    /// Starts one of `balancer_count` agents with an endpoint list of `server_count` servers, of which only the
+    /// first one listens.
+    async fn start_with(server_count: usize, balancer_count: u64) -> Self {
         let turn = ONE_AT_A_TIME.lock().await;
         common::raise_descriptor_limit();
         let server = TestServer::start(reply).await;
@@ -58,6 +57,7 @@
         let config = AgentConfig::new(discovery.address, &entries)
             .with_memory_limit_mb(MEMORY_LIMIT_MB)
             .with_socket_limit(SOCKET_LIMIT)
+            .with_balancer_count(balancer_count)
             .with_class_timeout_ms(RequestClass::Read, 2_000)
             .with_class_timeout_ms(RequestClass::Pay, 2_000);
         let agent = Agent::start(&config).await;
@@ -124,7 +124,10 @@
 /// Returns a response with a head of nearly 16 KiB and the longest body.
 fn response_with_long_head() -> Vec<u8> {
     let fields: Vec<String> = (0..90).map(|number| format!("X{number}: {}\r\n", "v".repeat(160))).collect();
-    let head = format!("HTTP/1.1 200 OK\r\n{}Content-Length: {MAX_BODY_BYTES}\r\n\r\n", fields.concat());
+    let fields = fields.concat();
+    let head = format!(
+        "HTTP/1.1 200 OK\r\n{fields}Content-Type: text/plain\r\nContent-Length: {MAX_BODY_BYTES}\r\n\r\n"
+    );
     (head + &long_body()).into_bytes()
 }
 
@@ -157,17 +160,20 @@
     }
 }
 
-/// Asserts that the limit holds while a crowd of these clients is connected and a quiet client sends requests.
+/// Asserts that the limit holds while a crowd of these clients is connected and a quiet client sends requests:
+/// for the only agent of a service, and for one of many, which forwards all requests at once.
 async fn assert_limit_holds_with(client: impl Fn(usize) -> CrowdClient) {
-    let scenario = Scenario::start().await;
-    let crowd = scenario.crowd(client, Duration::from_millis(2_500)).await;
-    drop(crowd);
-    scenario.assert_limit_held().await;
+    for balancer_count in [1, AGENTS] {
+        let scenario = Scenario::start_with(1, balancer_count).await;
+        let crowd = scenario.crowd(&client, Duration::from_millis(2_500)).await;
+        drop(crowd);
+        scenario.assert_limit_held().await;
+    }
 }
 
 #[tokio::test]
 async fn clients_that_stop_within_their_bodies() {
-    let scenario = Scenario::start().await;
+    let scenario = Scenario::start_with(1, AGENTS).await;
     for _ in 0..2 {
         let crowd =
             scenario.crowd(|_| CrowdClient::sending(halted_body()), Duration::from_millis(2_500)).await;
@@ -216,7 +222,7 @@
 /// The attempts of clients that have reset their connections go on until their deadlines.
 #[tokio::test]
 async fn attempts_whose_clients_have_left() {
-    let scenario = Scenario::start().await;
+    let scenario = Scenario::start_with(1, AGENTS).await;
     for _ in 0..4 {
         let request = |_| CrowdClient::sending(post_request("/pay/silent", "2000m", &long_body()));
         scenario.crowd(request, Duration::from_millis(300)).await.reset();
@@ -239,7 +245,7 @@
 /// A crowd of several kinds of clients leaves and comes back at once, four times.
 #[tokio::test]
 async fn a_mixed_crowd_that_comes_back() {
-    let scenario = Scenario::start().await;
+    let scenario = Scenario::start_with(1, AGENTS).await;
     for _ in 0..4 {
         let crowd = scenario.crowd(mixed_client, Duration::from_millis(1_500)).await;
         drop(crowd);
@@ -250,7 +256,7 @@
 /// The endpoint list names as many servers as the largest fleet. All but one refuse connections.
 #[tokio::test]
 async fn a_mixed_crowd_beside_the_largest_fleet() {
-    let scenario = Scenario::start_with_fleet(LARGEST_FLEET).await;
+    let scenario = Scenario::start_with(LARGEST_FLEET, 1).await;
     for _ in 0..2 {
         let crowd = Crowd::send(scenario.agent.address, (0..CROWD_SIZE).map(mixed_client)).await;
         sleep(Duration::from_millis(1_500)).await;
@@ -262,7 +268,7 @@
 /// More clients than the agent has connection slots for. The others wait to be accepted.
 #[tokio::test]
 async fn a_mixed_crowd_that_exceeds_the_connection_slots() {
-    let scenario = Scenario::start().await;
+    let scenario = Scenario::start_with(1, AGENTS).await;
     for _ in 0..2 {
         let clients = (0..SOCKET_LIMIT).map(mixed_client);
         let crowd = Crowd::send(scenario.agent.address, clients).await;
