A crowd's connections leave memory to forward its requests

Read while the budget was checked for one of many agents: with 500 client connections at 32 MB only some 70 connections to servers could be opened, since those of clients came first. Now clients' connections end at five eighths of the budget and those to servers at three quarters (175 beside 500 clients). A new client for whom only memory is short no longer waits 20 ms for each idle server connection that is closed in its favour.

--- a/crates/balancer-agent/src/listener/connection_table.rs
+++ b/crates/balancer-agent/src/listener/connection_table.rs
@@ -13,6 +13,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
+use tokio::task::yield_now;
 use tokio::time::{timeout, Instant};
 
 /// The interval at which a wait for a slot searches for a connection that has become evictable.
@@ -67,14 +68,18 @@
     }
 
     /// Waits until a slot is free and there is memory for a connection. Meanwhile, evictable connections are
-    /// evicted one by one, and `release_memory` is called so that its memory can be used.
-    pub async fn wait_for_slot(&self, release_memory: impl Fn()) -> FreeSlot {
+    /// evicted one by one. If only memory is short, `release_memory` is called before; it returns whether it has
+    /// released some.
+    pub async fn wait_for_slot(&self, release_memory: impl Fn() -> bool) -> FreeSlot {
         loop {
             if let Some(slot) = self.free_slot() {
                 return slot;
             }
-            if self.connections.borrow().len() < self.max_connections {
-                release_memory();
+            let is_memory_short = self.connections.borrow().len() < self.max_connections;
+            if is_memory_short && release_memory() {
+                // The released memory is free once the task that held it has ended.
+                yield_now().await;
+                continue;
             }
             self.evict_one();
             // This wait ends when a connection has been closed, or when the next search for an evictable one
--- a/crates/balancer-agent/src/listener/request_handler.rs
+++ b/crates/balancer-agent/src/listener/request_handler.rs
@@ -40,9 +40,10 @@
         RequestHandler { driver, request_ids: RequestIds::default(), memory }
     }
 
-    /// Releases memory that is used only to be quicker later: that of an idle connection to a server.
-    pub fn release_memory(&self) {
-        self.driver.close_idle_server_connection();
+    /// Releases memory that is used only to be quicker later: that of an idle connection to a server. Returns
+    /// `false` if there is none.
+    pub fn release_memory(&self) -> bool {
+        self.driver.close_idle_server_connection()
     }
 
     /// Handles a request and returns the response to it.
--- a/crates/balancer-agent/src/memory.rs
+++ b/crates/balancer-agent/src/memory.rs
@@ -26,10 +26,10 @@
 /// that has begun can be completed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Purpose {
-    /// An open connection to a server.
-    ServerConnection,
     /// An open connection of a client.
     ClientConnection,
+    /// An open connection to a server.
+    ServerConnection,
     /// The bytes of a request that is being received, beyond those that every connection has memory for.
     ReceiveBuffer,
     /// The head and body of a request.
@@ -140,15 +140,16 @@
 
     /// Returns whether bytes may be reserved in addition to those in use.
     ///
-    /// Connections to servers may use five eighths of the budget and all connections three quarters. Of what
-    /// connections leave, long heads and large requests may use a half, large responses three quarters, and
+    /// Connections of clients are accepted while all connections use less than five eighths of the budget, and
+    /// connections to servers are opened up to three quarters, so that the requests of a crowd can be forwarded.
+    /// Of what connections leave, long heads and large requests may use a half, large responses three quarters, and
     /// small requests and responses everything.
     fn fits(&self, usage: &Usage, purpose: Purpose, bytes: usize) -> bool {
         let total = usage.connections + usage.messages + bytes;
         let message_capacity = self.capacity.saturating_sub(usage.connections);
         let is_within_share = match purpose {
-            Purpose::ServerConnection => usage.connections + bytes <= self.capacity / 8 * 5,
-            Purpose::ClientConnection => usage.connections + bytes <= self.capacity / 4 * 3,
+            Purpose::ClientConnection => usage.connections + bytes <= self.capacity / 8 * 5,
+            Purpose::ServerConnection => usage.connections + bytes <= self.capacity / 4 * 3,
             Purpose::Request | Purpose::Response if bytes <= MAX_SMALL_BYTES => true,
             Purpose::ReceiveBuffer | Purpose::Request => usage.messages + bytes <= message_capacity / 2,
             Purpose::Response => usage.messages + bytes <= message_capacity / 4 * 3,
--- a/crates/balancer-agent/src/memory/tests.rs
+++ b/crates/balancer-agent/src/memory/tests.rs
@@ -38,13 +38,13 @@
 #[test]
 fn connections_leave_memory_for_messages() {
     let budget = budget();
-    let mut connections = fill(&budget, Purpose::ServerConnection);
-    let server_connections = connections.len();
-    assert_eq!(server_connections, CAPACITY / 8 * 5 / LARGE);
+    let mut connections = fill(&budget, Purpose::ClientConnection);
+    let client_connections = connections.len();
+    assert_eq!(client_connections, CAPACITY / 8 * 5 / LARGE);
 
-    connections.extend(fill(&budget, Purpose::ClientConnection));
+    connections.extend(fill(&budget, Purpose::ServerConnection));
 
-    assert!(connections.len() > server_connections, "clients can still connect");
+    assert!(connections.len() > client_connections, "their requests can still be forwarded");
     assert!(budget.try_reserve(Purpose::Request, MAX_SMALL_BYTES).is_some());
 }
 
