A request for which there is no memory is rejected after its end, not reset

Cause: the rejection was sent before the end of the request, and the connection was closed 0.5 s later with bytes on their way.

Change: the body is read to its end without being kept, and the rejection follows it.

--- a/crates/balancer-agent/src/listener/tests.rs
+++ b/crates/balancer-agent/src/listener/tests.rs
@@ -47,6 +47,11 @@
 
 /// Starts a listener for an agent with the class `read` and no servers.
 fn start_listener() -> Rc<Listener> {
+    start_listener_with(MemoryBudget::for_process(32_000_000))
+}
+
+/// Starts a listener like [`start_listener`] that takes its memory from `memory`.
+fn start_listener_with(memory: MemoryBudget) -> Rc<Listener> {
     let unused_address = SocketAddr::from(([127, 0, 0, 1], 0));
     let host_settings = HostSettings::from(&WireSettings::default());
     let config = Config {
@@ -60,7 +65,6 @@
         host_settings: HostSettings { class_names: vec!["read".into()], ..host_settings },
         cached_endpoints: EndpointList::default(),
     };
-    let memory = MemoryBudget::for_process(config.max_memory_bytes);
     let driver = Driver::start(config, 10, memory.clone()).expect("a driver");
     Listener::new(driver, 10, Duration::from_secs(1), memory)
 }
@@ -214,3 +218,27 @@
     };
     LocalSet::new().run_until(scenario).await;
 }
+
+/// There is no memory for a request whose client is slow to send it. The client gets its rejection after the end
+/// of the request: if the connection were closed before, the client would see a reset instead of a response.
+#[tokio::test(start_paused = true)]
+async fn a_request_without_memory_is_rejected_once_it_is_complete() {
+    let scenario = async {
+        let memory = MemoryBudget::with_capacity(64 << 10);
+        let mut connection = TestConnection::open(&start_listener_with(memory));
+        let body = vec![b'b'; 60_000];
+        let head = String::from_utf8_lossy(REQUEST).replacen("\r\n", "\r\nContent-Length: 60000\r\n", 1);
+        connection.send(head.as_bytes()).await;
+        for part in body.chunks(20_000) {
+            connection.stay_open_for(CLOSE_TIMEOUT + SOCKET_POLL_TIME).await;
+            assert_eq!(connection.phase(), Phase::Receiving);
+            connection.send(part).await;
+        }
+        connection.reach(Phase::Closing).await;
+
+        let mut response = [0; 512];
+        let length = connection.client.read(&mut response).await.expect("a response");
+        assert!(response[..length].starts_with(b"HTTP/1.1 429 "));
+    };
+    LocalSet::new().run_until(scenario).await;
+}
--- a/crates/balancer-agent/src/listener/validation.rs
+++ b/crates/balancer-agent/src/listener/validation.rs
@@ -11,6 +11,7 @@
 use crate::upstream::MAX_BODY_BYTES;
 use balancer_core::{ClassId, Effect, RoutingKey, Span, TenantId};
 use balancer_settings::hash_name;
+use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::http::request::Parts;
 use hyper::Request;
@@ -67,8 +68,10 @@
     check_effect(driver.effect_of(class), &head)?;
     let max_body_size = max_body_size(&body)?;
     let request_bytes = REQUEST_OVERHEAD_BYTES + head_memory(&head) + max_body_size;
-    let mut memory =
-        memory.try_reserve(Purpose::Request, request_bytes).ok_or(InvalidRequest::OutOfMemory)?;
+    let Some(mut memory) = memory.try_reserve(Purpose::Request, request_bytes) else {
+        discard_body(body).await;
+        return Err(InvalidRequest::OutOfMemory);
+    };
     let body = read_body(body, max_body_size).await?;
     memory.shrink_to(request_bytes - max_body_size + body.len());
     Ok(ClientRequest {
@@ -169,6 +172,15 @@
     }
 }
 
+/// Reads a request's body to its end without keeping it, within [`READ_TIMEOUT`]. A client that is still sending
+/// could lose a response that comes before the end of its request.
+async fn discard_body(body: Incoming) {
+    let mut body = Limited::new(body, MAX_BODY_BYTES);
+    let all_frames = async { while let Some(Ok(_)) = body.frame().await {} };
+    // The response is the same whether or not the end has come in time.
+    let _ = timeout(READ_TIMEOUT, all_frames).await;
+}
+
 /// Returns the request's routing key, or `None` if the query contains none.
 fn routing_key_of(head: &Parts) -> Option<RoutingKey> {
     let query = head.uri.query()?;
