--- a/crates/balancer-agent/src/listener/tests.rs
+++ b/crates/balancer-agent/src/listener/tests.rs
@@ -219,8 +219,7 @@
     LocalSet::new().run_until(scenario).await;
 }
 
-/// There is no memory for a request whose client is slow to send it. The client gets its rejection after the end
-/// of the request: if the connection were closed before, the client would see a reset instead of a response.
+/// A client that still sends when its connection is closed sees a reset instead of its response.
 #[tokio::test(start_paused = true)]
 async fn a_request_without_memory_is_rejected_once_it_is_complete() {
     let scenario = async {
--- a/crates/balancer-agent/src/upstream/client/tests.rs
+++ b/crates/balancer-agent/src/upstream/client/tests.rs
@@ -86,8 +86,7 @@
     LocalSet::new().run_until(test).await;
 }
 
-/// A connect may take most of the time that the client waits. The attempt must not tell its server the time from
-/// before the connect.
+/// The connect takes 1.5 of the 2 s that the client waits.
 #[tokio::test(start_paused = true)]
 async fn an_attempt_tells_its_server_the_time_that_is_left_after_the_connect() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
@@ -117,8 +116,7 @@
     assert!(head.contains("x-timeout: 500000u\r\n"), "{head}");
 }
 
-/// Guards against a slow response whose attempt counts as overdue: each part of it, the head included, must be
-/// visible to the driver.
+/// Guards against a slow response whose attempt counts as overdue although the response is arriving.
 #[tokio::test(start_paused = true)]
 async fn each_part_of_a_response_is_recorded_as_progress() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
--- a/crates/balancer-agent/tests/client_disconnects.rs
+++ b/crates/balancer-agent/tests/client_disconnects.rs
@@ -188,8 +188,7 @@
     }
 }
 
-/// A client disconnects while its request runs at the server, and the same request comes again: while the first
-/// attempt is in flight, and after it has ended.
+/// The same request comes again while the first attempt is in flight, and after it has ended.
 #[tokio::test]
 async fn an_id_whose_client_has_left_does_not_run_twice() {
     for path in ["/pay", "/save"] {
--- a/crates/balancer-core/tests/shedding.rs
+++ b/crates/balancer-core/tests/shedding.rs
@@ -27,8 +27,7 @@
     assert!(!is_sent, "220 ms have passed, which is past the objective of 200 ms");
 }
 
-/// One client's requests with a timeout of 1 ms outnumber all others. Another client waits for 500 ms, which is
-/// shorter than the timeout of the class and longer than that of the many.
+/// The other client waits for 500 ms, which is longer than the flood's 1 ms and shorter than the class timeout.
 #[test]
 fn a_flood_of_requests_with_short_timeouts_gets_no_other_client_rejected() {
     let mut harness = Harness::with_endpoints(six_attempt_settings(), 1, fleet(9));
