--- a/crates/balancer-agent/src/listener.rs
+++ b/crates/balancer-agent/src/listener.rs
@@ -78,8 +78,9 @@
     /// connections.
     ///
     /// Returns once `accept_task` has accepted the last connection and each connection has been closed after
-    /// its last response, but at the latest at [`ShutdownSchedule::exit_by`], before SIGKILL is due.
-    pub async fn shut_down(&self, accept_task: JoinHandle<()>) {
+    /// its last response, but at the latest at [`ShutdownSchedule::exit_by`], before SIGKILL is due. Returns the
+    /// number of connections that are still open then.
+    pub async fn shut_down(&self, accept_task: JoinHandle<()>) -> usize {
         let schedule = ShutdownSchedule::starting_at(Instant::now(), self.longest_timeout);
         self.shutdown.start(schedule);
         let all_closed = async {
@@ -89,6 +90,7 @@
         };
         // After the time limit, the agent exits even if connections are still open.
         let _ = timeout_at(schedule.exit_by(), all_closed).await;
+        self.connections.open_count()
     }
 
     /// Serves a connection, and removes it from the connection table after it has been closed.
--- a/crates/balancer-agent/src/listener/connection_table.rs
+++ b/crates/balancer-agent/src/listener/connection_table.rs
@@ -49,7 +49,12 @@
 
     /// Returns the current slot usage.
     pub fn usage(&self) -> SlotUsage {
-        SlotUsage::of(self.connections.borrow().len(), self.max_connections)
+        SlotUsage::of(self.open_count(), self.max_connections)
+    }
+
+    /// Returns the number of open connections.
+    pub fn open_count(&self) -> usize {
+        self.connections.borrow().len()
     }
 
     /// Adds a connection that has just been accepted.
@@ -75,7 +80,7 @@
             if let Some(slot) = self.free_slot() {
                 return slot;
             }
-            let is_memory_short = self.connections.borrow().len() < self.max_connections;
+            let is_memory_short = self.open_count() < self.max_connections;
             if is_memory_short && release_memory() {
                 // The released memory is free once the task that held it has ended.
                 yield_now().await;
@@ -90,7 +95,7 @@
 
     /// Returns a free slot, or `None` if all slots are in use or there is no memory for a connection.
     pub fn free_slot(&self) -> Option<FreeSlot> {
-        if self.connections.borrow().len() >= self.max_connections {
+        if self.open_count() >= self.max_connections {
             return None;
         }
         self.memory.try_reserve(Purpose::ClientConnection, CONNECTION_BYTES).map(FreeSlot)
--- a/crates/balancer-agent/src/main.rs
+++ b/crates/balancer-agent/src/main.rs
@@ -129,9 +129,15 @@
         // requests could wait until their deadlines. The agent exits, so that it is restarted.
         _ = &mut driver_task => return Err(AgentError::DriverStopped),
     }
-    listener.shut_down(accept_task).await;
+    let open_connections = listener.shut_down(accept_task).await;
     driver.activity().log_summary();
-    log_line!("{name}: all requests are answered");
+    if open_connections == 0 {
+        log_line!("{name}: all requests are answered");
+    } else {
+        log_line!(
+            "{name}: the shutdown's time is over, {open_connections} client connections are still open"
+        );
+    }
     Ok(())
 }
 
