Guarantee each kind of user a share of the byte budget

Seen: long_responses_to_small_requests_that_are_not_read failed twice beside a soak of three lives at a time: a quiet client of one of many agents got its response after 2.01 s of 1 s. It had passed alone and beside six busy processes.

Clients were accepted only while all connections used less than five eighths, and those to servers could use three quarters, so several hundred attempts in flight left no new client a connection until they ended.

Change: shares are guaranteed instead of capped: three eighths of the budget to clients' connections, an eighth each to connections to servers, small messages and large ones; only the rest goes to who comes first. A connection to a server reserves 28 KiB, which is what one with the longest response head takes.

--- a/crates/balancer-agent/src/memory.rs
+++ b/crates/balancer-agent/src/memory.rs
@@ -18,12 +18,26 @@
 const USABLE_FRACTION: f64 = 0.75;
 /// The lowest capacity of a budget, with which the agent still serves small requests.
 const MIN_CAPACITY_BYTES: usize = 4_000_000;
-/// The largest reservation that counts as small. Small reservations may use the whole budget, so that large
-/// bodies cannot keep small requests from being served.
+/// The largest message that counts as small.
 const MAX_SMALL_BYTES: usize = 16 << 10;
+/// The number of kinds of users of the budget.
+const KINDS: usize = 4;
+/// The share of the budget that is guaranteed to each [`Kind`], in eighths. The rest goes to who comes first.
+///
+/// No kind can take what is guaranteed to another, so that a crowd of clients, servers or large messages cannot
+/// keep small requests from being accepted, forwarded and served.
+const GUARANTEED_EIGHTHS: [usize; KINDS] = [3, 1, 1, 1];
+
+/// A kind of users of the budget.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    ClientConnections = 0,
+    ServerConnections = 1,
+    SmallMessages = 2,
+    LargeMessages = 3,
+}
 
-/// What memory is reserved for. Earlier variants are refused at a lower usage than later ones, so that the work
-/// that has begun can be completed.
+/// What memory is reserved for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Purpose {
     /// An open connection of a client.
@@ -52,13 +66,20 @@
     response_lane: Lane,
 }
 
-/// The reserved bytes.
-#[derive(Default)]
-struct Usage {
-    connections: usize,
-    messages: usize,
+impl Purpose {
+    fn kind(self, bytes: usize) -> Kind {
+        match self {
+            Purpose::ClientConnection => Kind::ClientConnections,
+            Purpose::ServerConnection => Kind::ServerConnections,
+            Purpose::Request | Purpose::Response if bytes <= MAX_SMALL_BYTES => Kind::SmallMessages,
+            Purpose::ReceiveBuffer | Purpose::Request | Purpose::Response => Kind::LargeMessages,
+        }
+    }
 }
 
+/// The bytes that are reserved by each [`Kind`].
+type Usage = [usize; KINDS];
+
 /// The tasks that wait for memory of one kind, in the order in which they came.
 #[derive(Default)]
 struct Lane {
@@ -95,18 +116,18 @@
 
     /// Returns the number of bytes that are reserved now.
     pub fn reserved(&self) -> usize {
-        let usage = self.shared.usage();
-        usage.connections + usage.messages
+        self.shared.usage().iter().sum()
     }
 
     /// Reserves bytes until the returned reservation is dropped. Returns `None` if too many are reserved.
     pub fn try_reserve(&self, purpose: Purpose, bytes: usize) -> Option<Reservation> {
         let mut usage = self.shared.usage();
-        if !self.shared.fits(&usage, purpose, bytes) {
+        if bytes > self.shared.available(&usage, purpose, bytes) {
             return None;
         }
-        *usage.of_mut(purpose) += bytes;
-        Some(Reservation { shared: self.shared.clone(), purpose, bytes })
+        let kind = purpose.kind(bytes);
+        usage[kind as usize] += bytes;
+        Some(Reservation { shared: self.shared.clone(), kind, bytes })
     }
 
     /// Waits until bytes can be reserved. Equal purposes are served in the order of their calls, small
@@ -138,23 +159,19 @@
         self.usage.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns whether bytes may be reserved in addition to those in use.
+    /// Returns how many bytes may be reserved in addition to those in use, for a purpose of this size.
     ///
-    /// Connections of clients are accepted while all connections use less than five eighths of the budget, and
-    /// connections to servers are opened up to three quarters, so that the requests of a crowd can be forwarded.
-    /// Of what connections leave, long heads and large requests may use a half, large responses three quarters, and
-    /// small requests and responses everything.
-    fn fits(&self, usage: &Usage, purpose: Purpose, bytes: usize) -> bool {
-        let total = usage.connections + usage.messages + bytes;
-        let message_capacity = self.capacity.saturating_sub(usage.connections);
-        let is_within_share = match purpose {
-            Purpose::ClientConnection => usage.connections + bytes <= self.capacity / 8 * 5,
-            Purpose::ServerConnection => usage.connections + bytes <= self.capacity / 4 * 3,
-            Purpose::Request | Purpose::Response if bytes <= MAX_SMALL_BYTES => true,
-            Purpose::ReceiveBuffer | Purpose::Request => usage.messages + bytes <= message_capacity / 2,
-            Purpose::Response => usage.messages + bytes <= message_capacity / 4 * 3,
-        };
-        is_within_share && total <= self.capacity
+    /// Large requests may use only half of what large messages could use, so that the responses to them find
+    /// memory.
+    fn available(&self, usage: &Usage, purpose: Purpose, bytes: usize) -> usize {
+        let kind = purpose.kind(bytes);
+        let committed_to = |other: usize| usage[other].max(self.capacity / 8 * GUARANTEED_EIGHTHS[other]);
+        let committed: usize = (0..KINDS).filter(|other| *other != kind as usize).map(committed_to).sum();
+        let mut share = self.capacity.saturating_sub(committed);
+        if kind == Kind::LargeMessages && purpose != Purpose::Response {
+            share /= 2;
+        }
+        share.saturating_sub(usage[kind as usize])
     }
 
     fn lane(&self, purpose: Purpose, bytes: usize) -> &Lane {
@@ -168,27 +185,18 @@
         }
     }
 
-    fn release(&self, purpose: Purpose, bytes: usize) {
-        *self.usage().of_mut(purpose) -= bytes;
+    fn release(&self, kind: Kind, bytes: usize) {
+        self.usage()[kind as usize] -= bytes;
         for lane in [&self.small_lane, &self.response_lane, &self.request_lane] {
             lane.released.notify_one();
         }
     }
 }
 
-impl Usage {
-    fn of_mut(&mut self, purpose: Purpose) -> &mut usize {
-        match purpose {
-            Purpose::ServerConnection | Purpose::ClientConnection => &mut self.connections,
-            Purpose::ReceiveBuffer | Purpose::Request | Purpose::Response => &mut self.messages,
-        }
-    }
-}
-
 /// Reserved bytes of the budget, which are released on drop.
 pub struct Reservation {
     shared: Arc<Shared>,
-    purpose: Purpose,
+    kind: Kind,
     bytes: usize,
 }
 
@@ -203,7 +211,7 @@
         let released = self.bytes.saturating_sub(bytes);
         if released > 0 {
             self.bytes = bytes;
-            self.shared.release(self.purpose, released);
+            self.shared.release(self.kind, released);
         }
     }
 
@@ -215,7 +223,7 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        self.shared.release(self.purpose, self.bytes);
+        self.shared.release(self.kind, self.bytes);
     }
 }
 
--- a/crates/balancer-agent/src/upstream/pool/slots.rs
+++ b/crates/balancer-agent/src/upstream/pool/slots.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 /// The memory of one connection: its task, its buffers for reading and writing, and the longest response head.
-const CONNECTION_BYTES: usize = 20 << 10;
+const CONNECTION_BYTES: usize = 28 << 10;
 
 /// The slots for connections to servers. Each connection that is open or being opened occupies one slot.
 pub struct ConnectionSlots {
