--- a/review/9/case.py
+++ b/review/9/case.py
@@ -11,7 +11,8 @@
     settings)
 
 SERVERS = 10
-CLIENTS = 4
+CLIENTS = 12
+WORK_S = 0.15
 # The disruption: each answer of discovery takes this long, and new configurations come this far apart.
 ANSWER_S = 1.8
 APART_S = 1.5
@@ -23,6 +24,8 @@
 TOLD_AFTER_S = 6.0
 # `rules.stopSendingWithinMs`, and 50 ms for sockets.
 GRACE_S = 0.3
+# The drained processes end this long after their drain began, when nothing has been allowed there for 1 s and more.
+ENDS_AFTER_S = 7.5
 OLD_CLOSES_AFTER_S = 1.5
 LENGTH_S = 15.0
 
@@ -61,6 +64,8 @@
 
 async def case(folder, record, trouble):
     drained_at = {}
+    ended = set()
+    lost = []
     breaks = []
 
     async def handle(server, request, writer):
@@ -70,10 +75,24 @@
         if told_at is not None and now > told_at + GRACE_S:
             breaks.append(f"{request_id} went to {server.name} {now - told_at:.3f} s after its drain counted as told")
         record.line(f"{server.name} ran {request_id}{' (draining)' if told_at is not None else ''}")
-        await asyncio.sleep(0.01)
+        await asyncio.sleep(WORK_S)
+        if server.name in ended:
+            lost.append(request_id)
+            record.line(f"{server.name} has ended while {request_id} ran")
+            return False
         writer.write(answer_bytes(f"receipt for {request_id}"))
         return True
 
+    async def end_drained(draining):
+        """The drained processes end: they accept nothing, and their connections are reset."""
+        await asyncio.sleep(ENDS_AFTER_S)
+        for server in draining:
+            ended.add(server.name)
+            server.server.close()
+            for writer in list(server.writers):
+                writer.transport.abort()
+        record.line("the drained order servers end")
+
     servers = [await OrderServer(f"s-{number}", handle, record).start() for number in range(SERVERS)]
     shared = Discovery(record, 1, [server.entry() for server in servers])
     count = 1 + (CONFIGURATIONS if trouble else 0)
@@ -116,6 +135,7 @@
         for server in servers[:SERVERS // 4]:
             drained_at[server.name] = record.now() + TOLD_AFTER_S
         await shared.change(*(server.entry("draining") for server in servers[:SERVERS // 4]))
+        tasks.append(asyncio.create_task(end_drained(servers[:SERVERS // 4])))
         while tasks:
             await asyncio.gather(*tasks)
             tasks = [task for task in tasks if not task.done()]
@@ -123,6 +143,7 @@
         for task in tasks:
             task.cancel()
         agent.stop()
+    record.line(f"{len(lost)} orders were running on a drained order server when it ended: {', '.join(lost)}")
     return breaks
 
 
