--- a/review/10/case.py
+++ b/review/10/case.py
@@ -25,8 +25,11 @@
 TOLD_AFTER_S = 6.0
 # `rules.stopSendingWithinMs`, and 50 ms for sockets.
 GRACE_S = 0.3
+# The drained processes end this long after their drain began, when nothing has been allowed there for 1 s and more.
+ENDS_AFTER_S = 7.5
 LENGTH_S = 14.0
-CLIENTS = 4
+CLIENTS = 12
+WORK_S = 0.15
 OLD_CLOSES_AFTER_S = 1.5
 
 
@@ -60,6 +63,8 @@
             raise CannotRun("too few descriptors for 3,200 order servers")
         resource.setrlimit(resource.RLIMIT_NOFILE, (needed, hard))
     drained_at = {}
+    ended = set()
+    lost = []
     breaks = []
 
     async def handle(server, request, writer):
@@ -69,10 +74,24 @@
         if told_at is not None and now > told_at + GRACE_S:
             breaks.append(f"{request_id} went to {server.name} {now - told_at:.3f} s after its drain counted as told")
         record.line(f"{server.name} ran {request_id}{' (draining)' if told_at is not None else ''}")
-        await asyncio.sleep(0.01)
+        await asyncio.sleep(WORK_S)
+        if server.name in ended:
+            lost.append(request_id)
+            record.line(f"{server.name} has ended while {request_id} ran")
+            return False
         writer.write(answer_bytes(f"receipt for {request_id}"))
         return True
 
+    async def end_drained(draining):
+        """The drained processes end: they accept nothing, and their connections are reset."""
+        await asyncio.sleep(ENDS_AFTER_S)
+        for server in draining:
+            ended.add(server.name)
+            server.server.close()
+            for writer in list(server.writers):
+                writer.transport.abort()
+        record.line("the drained order servers end")
+
     servers = [await OrderServer(f"s-{number:08x}", handle, record).start() for number in range(SERVERS)]
     hosts = [server.entry(site="dc-machakos") for server in servers]
     old = await IndentedDiscovery(record, 1, hosts).start()
@@ -116,11 +135,13 @@
         for server in draining:
             drained_at[server.name] = record.now() + TOLD_AFTER_S
         await (new if trouble else old).change(*(server.entry("draining", site="dc-machakos") for server in draining))
+        tasks.append(asyncio.create_task(end_drained(draining)))
         await asyncio.gather(*tasks)
     finally:
         for task in tasks:
             task.cancel()
         agent.stop()
+    record.line(f"{len(lost)} orders were running on a drained order server when it ended: {', '.join(lost)}")
     return breaks
 
 
