A small request in pieces needs no memory beyond its connection's

Cause: after any first piece, ReceiveBuffer::poll_room asked for room for a whole further read of 4 KiB, so a head of 200 bytes reserved memory beyond its connection's own. That reservation counted as a large message however short it was, and 50 peers that stopped within a body held all that requests may take of that share.

Ruled out: slots (86 of 116 in use, the connections were open before), and the request's own reservation (rejected with 429, never waited for; requests in one piece were served).

Change: the buffer is read into up to what it has memory for, and reserves more only once that is full. Heads beyond 4 KiB count as the small messages they are, and may use half of that share, so that heads that never end leave memory for small requests and responses. The same holds for the lines of a chunked body.

The two tests in listener/tests.rs fail on the code before: their connections stay in Receiving.

--- a/crates/balancer-agent/src/framing/client_stream.rs
+++ b/crates/balancer-agent/src/framing/client_stream.rs
@@ -56,7 +56,8 @@
         }
     }
 
-    /// Reads bytes from the socket into the framer once there is memory for them. Returns `false` at the end of the stream.
+    /// Reads bytes from the socket into the framer once there is memory for them. Returns `false` at the end of
+    /// the stream.
     ///
     /// Bytes that the framer drops are read as well, because the end of the stream can be detected only after
     /// them.
@@ -64,9 +65,9 @@
         if self.is_at_end {
             return Poll::Ready(Ok(false));
         }
-        ready!(self.framer.poll_room(cx, READ_BUFFER_BYTES));
+        let room = ready!(self.framer.poll_room(cx)).min(READ_BUFFER_BYTES);
         let mut bytes = [0; READ_BUFFER_BYTES];
-        let length = ready!(self.poll_receive(cx, &mut bytes))?;
+        let length = ready!(self.poll_receive(cx, &mut bytes[..room]))?;
         self.framer.push(&bytes[..length], &self.state);
         Poll::Ready(Ok(length > 0))
     }
--- a/crates/balancer-agent/src/framing/receive_buffer.rs
+++ b/crates/balancer-agent/src/framing/receive_buffer.rs
@@ -24,27 +24,35 @@
         ReceiveBuffer { bytes: BytesMut::new(), memory, reservation: None, pending: None }
     }
 
-    /// Waits until `additional` bytes can be appended.
-    pub fn poll_room(&mut self, cx: &mut Context<'_>, additional: usize) -> Poll<()> {
-        let Some(capacity) = self.missing_capacity(additional) else { return Poll::Ready(()) };
-        let missing = capacity - MIN_CAPACITY_BYTES;
-        let pending =
-            self.pending.get_or_insert_with(|| self.memory.reserve_later(Purpose::ReceiveBuffer, missing));
-        let reservation = ready!(pending.as_mut().poll(cx));
-        self.pending = None;
-        self.grow(capacity, Some(reservation));
-        Poll::Ready(())
+    /// Waits until bytes can be appended, and returns how many. Memory beyond [`MIN_CAPACITY_BYTES`] is reserved
+    /// only once the buffer is full.
+    pub fn poll_room(&mut self, cx: &mut Context<'_>) -> Poll<usize> {
+        if self.room() == 0 {
+            let capacity = self.capacity() + MIN_CAPACITY_BYTES;
+            let missing = capacity - MIN_CAPACITY_BYTES;
+            let pending = self
+                .pending
+                .get_or_insert_with(|| self.memory.reserve_later(Purpose::ReceiveBuffer, missing));
+            let reservation = ready!(pending.as_mut().poll(cx));
+            self.pending = None;
+            self.grow(capacity, reservation);
+        }
+        Poll::Ready(self.room())
     }
 
-    /// Returns whether `additional` bytes can be appended now.
+    /// Returns whether `additional` bytes can be appended now, after reserving memory for them if necessary.
     pub fn has_room(&mut self, additional: usize) -> bool {
-        let Some(capacity) = self.missing_capacity(additional) else { return true };
-        let reservation = self.memory.try_reserve(Purpose::ReceiveBuffer, capacity - MIN_CAPACITY_BYTES);
-        let is_reserved = reservation.is_some();
-        if is_reserved {
-            self.grow(capacity, reservation);
+        if additional <= self.room() {
+            return true;
+        }
+        let capacity = (self.bytes.len() + additional).next_multiple_of(MIN_CAPACITY_BYTES);
+        match self.memory.try_reserve(Purpose::ReceiveBuffer, capacity - MIN_CAPACITY_BYTES) {
+            Some(reservation) => {
+                self.grow(capacity, reservation);
+                true
+            }
+            None => false,
         }
-        is_reserved
     }
 
     /// Appends bytes. The caller must ensure that there is room for them.
@@ -64,20 +72,22 @@
         }
     }
 
-    /// Returns the capacity that the buffer must grow to so that `additional` bytes can be appended, or `None`
-    /// if its memory suffices. Capacities are multiples of [`MIN_CAPACITY_BYTES`].
-    fn missing_capacity(&self, additional: usize) -> Option<usize> {
-        let needed = (self.bytes.len() + additional).next_multiple_of(MIN_CAPACITY_BYTES);
-        let reserved = self.reservation.as_ref().map_or(0, Reservation::bytes);
-        (needed > MIN_CAPACITY_BYTES + reserved).then_some(needed)
+    /// Returns how many bytes the buffer has memory for.
+    fn capacity(&self) -> usize {
+        MIN_CAPACITY_BYTES + self.reservation.as_ref().map_or(0, Reservation::bytes)
+    }
+
+    /// Returns how many bytes can be appended with the memory that the buffer has.
+    fn room(&self) -> usize {
+        self.capacity() - self.bytes.len()
     }
 
     /// Moves the bytes to a buffer of this capacity. `BytesMut` alone would double its capacity.
-    fn grow(&mut self, capacity: usize, reservation: Option<Reservation>) {
+    fn grow(&mut self, capacity: usize, reservation: Reservation) {
         let mut grown = BytesMut::with_capacity(capacity);
         grown.extend_from_slice(&self.bytes);
         self.bytes = grown;
-        self.reservation = reservation;
+        self.reservation = Some(reservation);
     }
 }
 
--- a/crates/balancer-agent/src/framing/receive_buffer/tests.rs
+++ b/crates/balancer-agent/src/framing/receive_buffer/tests.rs
@@ -3,20 +3,21 @@
 use super::*;
 use std::task::Waker;
 
-fn poll_room(buffer: &mut ReceiveBuffer, additional: usize) -> Poll<()> {
-    buffer.poll_room(&mut Context::from_waker(Waker::noop()), additional)
+fn poll_room(buffer: &mut ReceiveBuffer) -> Poll<usize> {
+    buffer.poll_room(&mut Context::from_waker(Waker::noop()))
 }
 
 #[test]
 fn a_buffer_reserves_what_it_holds_beyond_its_minimum_and_gives_it_back() {
     let memory = MemoryBudget::with_capacity(100 << 10);
     let mut buffer = ReceiveBuffer::new(memory.clone());
-    assert!(poll_room(&mut buffer, MIN_CAPACITY_BYTES).is_ready());
+    assert_eq!(poll_room(&mut buffer), Poll::Ready(MIN_CAPACITY_BYTES));
     buffer.extend(&[1; MIN_CAPACITY_BYTES]);
     assert_eq!(memory.reserved(), 0);
 
-    assert!(poll_room(&mut buffer, 10).is_ready());
+    assert_eq!(poll_room(&mut buffer), Poll::Ready(MIN_CAPACITY_BYTES));
     buffer.extend(&[2; 10]);
+    assert_eq!(poll_room(&mut buffer), Poll::Ready(MIN_CAPACITY_BYTES - 10));
     assert_eq!(memory.reserved(), MIN_CAPACITY_BYTES);
     assert_eq!(&buffer[MIN_CAPACITY_BYTES - 1..][..2], &[1, 2]);
 
@@ -30,11 +31,24 @@
     let held = memory.try_reserve(Purpose::ReceiveBuffer, MIN_CAPACITY_BYTES).expect("memory");
     let mut buffer = ReceiveBuffer::new(memory);
     buffer.extend(&[1; MIN_CAPACITY_BYTES]);
-    assert!(poll_room(&mut buffer, 1).is_pending());
+    assert!(poll_room(&mut buffer).is_pending());
     assert!(!buffer.has_room(1));
 
     drop(held);
 
-    assert!(poll_room(&mut buffer, 1).is_ready());
+    assert_eq!(poll_room(&mut buffer), Poll::Ready(MIN_CAPACITY_BYTES));
     assert!(buffer.has_room(1));
 }
+
+/// Guards against a short message in pieces that waits for memory although its connection has room for it.
+#[test]
+fn a_buffer_that_is_not_full_needs_no_memory() {
+    let memory = MemoryBudget::with_capacity(0);
+    let mut buffer = ReceiveBuffer::new(memory);
+    for received in 1..MIN_CAPACITY_BYTES {
+        buffer.extend(&[1]);
+
+        assert_eq!(poll_room(&mut buffer), Poll::Ready(MIN_CAPACITY_BYTES - received));
+        assert!(buffer.has_room(MIN_CAPACITY_BYTES - received));
+    }
+}
--- a/crates/balancer-agent/src/framing/request_framer.rs
+++ b/crates/balancer-agent/src/framing/request_framer.rs
@@ -51,13 +51,13 @@
         matches!(self.progress, Progress::Closed)
     }
 
-    /// Waits until `additional` bytes can be pushed. After a complete request, they always can: the stream is
-    /// read on so that its end is noticed.
-    pub fn poll_room(&mut self, cx: &mut Context<'_>, additional: usize) -> Poll<()> {
+    /// Waits until bytes can be pushed, and returns how many at most. After a complete request, any number can
+    /// be: the stream is read on so that its end is noticed.
+    pub fn poll_room(&mut self, cx: &mut Context<'_>) -> Poll<usize> {
         match self.progress {
-            Progress::Complete | Progress::Closed => Poll::Ready(()),
+            Progress::Complete | Progress::Closed => Poll::Ready(usize::MAX),
             Progress::Head | Progress::ChunkHeader | Progress::Body(_) | Progress::Chunk(_) => {
-                self.buffer.poll_room(cx, additional)
+                self.buffer.poll_room(cx)
             }
         }
     }
--- a/crates/balancer-agent/src/listener/tests.rs
+++ b/crates/balancer-agent/src/listener/tests.rs
@@ -5,6 +5,7 @@
 use crate::config::Config;
 use crate::endpoint_list::EndpointList;
 use crate::framing::Phase;
+use crate::memory::{Purpose, Reservation};
 use balancer_core::Settings;
 use balancer_settings::{HostSettings, WireSettings};
 use std::future::{poll_fn, Future};
@@ -108,6 +109,13 @@
         }
     }
 
+    /// Reads a response, which the agent has written already.
+    async fn response(&mut self) -> String {
+        let mut response = [0; 512];
+        let length = self.client.read(&mut response).await.expect("a response");
+        String::from_utf8_lossy(&response[..length]).into_owned()
+    }
+
     /// Polls the serving future until the connection is in this phase.
     async fn reach(&mut self, phase: Phase) {
         while self.phase() != phase {
@@ -219,6 +227,64 @@
     LocalSet::new().run_until(scenario).await;
 }
 
+/// Reserves memory in blocks of this size until none is granted.
+fn fill(memory: &MemoryBudget, purpose: Purpose, bytes: usize) -> Vec<Reservation> {
+    std::iter::from_fn(|| memory.try_reserve(purpose, bytes)).collect()
+}
+
+/// Guards against a small request that is not read, because other clients hold the memory of long messages and its
+/// head or a line of its body arrives in pieces. A chunked request is rejected, since its body may be long.
+#[tokio::test]
+async fn a_small_request_in_pieces_is_read_beside_clients_that_hold_all_memory_of_long_messages() {
+    let chunked_request =
+        [&REQUEST[..REQUEST.len() - 2], b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"].concat();
+    let cases = [
+        (REQUEST, 60, Phase::Processing),
+        (REQUEST, 1, Phase::Processing),
+        (&chunked_request, 60, Phase::Closing),
+        (&chunked_request, 1, Phase::Closing),
+    ];
+    for (request, piece_size, phase_after) in cases {
+        let scenario = async {
+            let memory = MemoryBudget::for_process(32_000_000);
+            let mut connection = TestConnection::open(&start_listener_with(memory.clone()));
+            let _bodies = fill(&memory, Purpose::Request, 64 << 10);
+            let _heads = fill(&memory, Purpose::ReceiveBuffer, 4 << 10);
+
+            for piece in request.chunks(piece_size) {
+                connection.send(piece).await;
+                connection.stay_open_for(SOCKET_POLL_TIME).await;
+            }
+
+            assert_eq!(connection.phase(), phase_after, "in pieces of {piece_size} bytes");
+        };
+        LocalSet::new().run_until(scenario).await;
+    }
+}
+
+/// Guards against a request with a long head that waits for the memory of long messages, which clients that stop
+/// within their bodies hold. It is read and rejected, since there is no memory to forward it.
+#[tokio::test]
+async fn a_long_head_is_read_beside_clients_that_hold_all_memory_of_long_messages() {
+    let scenario = async {
+        let memory = MemoryBudget::for_process(32_000_000);
+        let mut connection = TestConnection::open(&start_listener_with(memory.clone()));
+        let _bodies = fill(&memory, Purpose::Request, 64 << 10);
+        let _responses = fill(&memory, Purpose::Response, 64 << 10);
+        let long_field = format!("\r\nX-Attrs: {}\r\n", "a".repeat(10_000));
+        let request = String::from_utf8_lossy(REQUEST).replacen("\r\n", &long_field, 1);
+
+        for piece in request.as_bytes().chunks(3_000) {
+            connection.send(piece).await;
+            connection.stay_open_for(SOCKET_POLL_TIME).await;
+        }
+
+        assert_eq!(connection.phase(), Phase::Closing);
+        assert!(connection.response().await.starts_with("HTTP/1.1 429 "));
+    };
+    LocalSet::new().run_until(scenario).await;
+}
+
 /// A client that still sends when its connection is closed sees a reset instead of its response.
 #[tokio::test(start_paused = true)]
 async fn a_request_without_memory_is_rejected_once_it_is_complete() {
@@ -235,9 +301,7 @@
         }
         connection.reach(Phase::Closing).await;
 
-        let mut response = [0; 512];
-        let length = connection.client.read(&mut response).await.expect("a response");
-        assert!(response[..length].starts_with(b"HTTP/1.1 429 "));
+        assert!(connection.response().await.starts_with("HTTP/1.1 429 "));
     };
     LocalSet::new().run_until(scenario).await;
 }
--- a/crates/balancer-agent/src/memory.rs
+++ b/crates/balancer-agent/src/memory.rs
@@ -44,7 +44,7 @@
     ClientConnection,
     /// An open connection to a server.
     ServerConnection,
-    /// The bytes of a request that is being received, beyond those that every connection has memory for.
+    /// The bytes of a head that is being received, beyond those that every connection has memory for.
     ReceiveBuffer,
     /// The head and body of a request.
     Request,
@@ -71,8 +71,9 @@
         match self {
             Purpose::ClientConnection => Kind::ClientConnections,
             Purpose::ServerConnection => Kind::ServerConnections,
+            Purpose::ReceiveBuffer => Kind::SmallMessages,
             Purpose::Request | Purpose::Response if bytes <= MAX_SMALL_BYTES => Kind::SmallMessages,
-            Purpose::ReceiveBuffer | Purpose::Request | Purpose::Response => Kind::LargeMessages,
+            Purpose::Request | Purpose::Response => Kind::LargeMessages,
         }
     }
 }
@@ -162,13 +163,19 @@
     /// Returns how many bytes may be reserved in addition to those in use, for a purpose of this size.
     ///
     /// Large requests may use only half of what large messages could use, so that the responses to them find
-    /// memory.
+    /// memory. Likewise, heads may use only half of what small messages could use, so that heads that never
+    /// become complete leave memory for small requests and their responses.
     fn available(&self, usage: &Usage, purpose: Purpose, bytes: usize) -> usize {
         let kind = purpose.kind(bytes);
         let committed_to = |other: usize| usage[other].max(self.capacity / 8 * GUARANTEED_EIGHTHS[other]);
         let committed: usize = (0..KINDS).filter(|other| *other != kind as usize).map(committed_to).sum();
         let mut share = self.capacity.saturating_sub(committed);
-        if kind == Kind::LargeMessages && purpose != Purpose::Response {
+        let is_half_of_share = match purpose {
+            Purpose::ReceiveBuffer => true,
+            Purpose::Request => kind == Kind::LargeMessages,
+            Purpose::ClientConnection | Purpose::ServerConnection | Purpose::Response => false,
+        };
+        if is_half_of_share {
             share /= 2;
         }
         share.saturating_sub(usage[kind as usize])
--- a/crates/balancer-agent/src/memory/tests.rs
+++ b/crates/balancer-agent/src/memory/tests.rs
@@ -31,6 +31,17 @@
     assert_eq!(requests.len() + responses.len(), CAPACITY / 8 * 3 / LARGE);
 }
 
+#[test]
+fn heads_leave_memory_for_small_requests_and_responses() {
+    const HEAD: usize = 12 << 10;
+    let budget = budget();
+    let heads: Vec<_> = std::iter::from_fn(|| budget.try_reserve(Purpose::ReceiveBuffer, HEAD)).collect();
+    assert_eq!(heads.len(), CAPACITY / 8 * 3 / 2 / HEAD);
+
+    let responses: Vec<_> = std::iter::from_fn(|| budget.try_reserve(Purpose::Response, HEAD)).collect();
+    assert_eq!(heads.len() + responses.len(), CAPACITY / 8 * 3 / HEAD);
+}
+
 /// Whatever fills the budget first, every other user still gets what is guaranteed to it.
 #[test]
 fn no_user_can_take_what_is_guaranteed_to_another() {
