A list of the largest fleet is read in any indentation

Cause: Call::make failed a call whose response exceeded 1 MiB, without a log line, and the next call was the same one. The limit was on the text as sent, most of which is whitespace.

Ruled out: overdue calls (the call fails 1.7 ms after it was made), and parsing (the same list is applied below 1 MiB).

Change: the text is kept with each run of whitespace outside strings as one space, and parsed entry by entry in place of a tree of values. A response may have 64 MiB in all. Why a call failed is logged, once until a list arrives.

--- a/crates/balancer-agent/src/discovery.rs
+++ b/crates/balancer-agent/src/discovery.rs
@@ -5,6 +5,7 @@
 //! ([`balancer_core::Action::WatchEndpoints`]). This module makes the calls of the watch.
 
 mod call;
+mod list_text;
 mod open_calls;
 mod watch;
 mod watch_event;
--- a/crates/balancer-agent/src/discovery/call.rs
+++ b/crates/balancer-agent/src/discovery/call.rs
@@ -1,11 +1,13 @@
 //! A call to discovery: one request for the endpoint list, and its response.
 
+use super::list_text::{ListText, ListTooLong, MAX_LIST_BYTES};
 use crate::endpoint_list::EndpointList;
 use crate::http_client::{connect, start_http, ConnectionTask};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, Limited};
+use http_body_util::{BodyExt, Empty};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
-use hyper::{Request, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -13,9 +15,29 @@
 /// How long a call may wait at discovery until the list changes. A longer wait would delay the detection of a
 /// discovery service that has become unreachable.
 pub const MAX_CALL_WAIT: Duration = Duration::from_secs(5);
-/// The maximum encoded size of a list, in bytes. A parsed list may take ten times its encoded size, and the
-/// process may have no more than 32 MB of memory.
-const MAX_LIST_BYTES: usize = 1 << 20;
+/// The reason why a call has failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum CallError {
+    /// The connection could not be established, or ended before the response was complete.
+    #[error("no connection, or it ended within a response")]
+    Disconnected,
+    /// The response does not contain a list.
+    #[error("response with status {0}")]
+    Status(u16),
+    /// The list is longer than permitted.
+    #[error("a list of more than {MAX_LIST_BYTES} bytes")]
+    ListTooLong,
+    /// The response is not a list.
+    #[error("a response that is no endpoint list")]
+    NotAList,
+    /// The list contains changes, but the call requested the complete list. Changes cannot be applied without
+    /// the list that they refer to.
+    #[error("changes in place of the whole list")]
+    Incomplete,
+    /// The call's task has panicked.
+    #[error("the call ended unexpectedly")]
+    Panicked,
+}
 
 /// A call that has not been made.
 pub struct Call {
@@ -47,11 +69,15 @@
         self.after_version.map_or(Duration::ZERO, |_| MAX_CALL_WAIT)
     }
 
-    /// Sends the request and waits for the response, without a time limit. Returns `None` if the call fails.
-    pub async fn make(self) -> Option<CallResponse> {
+    /// Sends the request and waits for the response, without a time limit.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no response, or no list in it that can be used.
+    pub async fn make(self) -> Result<CallResponse, CallError> {
         let mut connection = match self.connection {
             Some(connection) if !connection.sender.is_closed() => connection,
-            _ => Connection::open(self.address).await?,
+            _ => Connection::open(self.address).await.ok_or(CallError::Disconnected)?,
         };
         let path = match self.after_version {
             Some(version) => {
@@ -59,10 +85,12 @@
             }
             None => "/v1/endpoints".to_owned(),
         };
-        let list = connection.exchange(&path, self.address).await?;
-        // Changes cannot be applied without the list that they refer to.
-        let is_usable = list.is_complete || self.after_version.is_some();
-        is_usable.then_some(CallResponse { list, connection })
+        let response = connection.exchange(&path, self.address).await.ok_or(CallError::Disconnected)?;
+        let list = read_list(response).await?;
+        if !list.is_complete && self.after_version.is_none() {
+            return Err(CallError::Incomplete);
+        }
+        Ok(CallResponse { list, connection })
     }
 }
 
@@ -73,15 +101,26 @@
         Some(Connection { sender: http.sender, _task: http.task })
     }
 
-    /// Sends one request and reads the list in the response.
-    async fn exchange(&mut self, path: &str, address: SocketAddr) -> Option<EndpointList> {
+    /// Sends one request and reads the head of the response.
+    async fn exchange(&mut self, path: &str, address: SocketAddr) -> Option<Response<Incoming>> {
         self.sender.ready().await.ok()?;
         let request = Request::get(path).header("host", address.to_string()).body(Empty::new());
-        let response = self.sender.send_request(request.ok()?).await.ok()?;
-        if response.status() != StatusCode::OK {
-            return None;
+        self.sender.send_request(request.ok()?).await.ok()
+    }
+}
+
+/// Reads the list in a response.
+async fn read_list(response: Response<Incoming>) -> Result<EndpointList, CallError> {
+    if response.status() != StatusCode::OK {
+        return Err(CallError::Status(response.status().as_u16()));
+    }
+    let mut text = ListText::default();
+    let mut body = response.into_body();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| CallError::Disconnected)?;
+        if let Some(part) = frame.data_ref() {
+            text.push(part).map_err(|ListTooLong| CallError::ListTooLong)?;
         }
-        let body = Limited::new(response.into_body(), MAX_LIST_BYTES).collect().await.ok()?.to_bytes();
-        EndpointList::parse(&serde_json::from_slice(&body).ok()?)
     }
+    serde_json::from_slice(text.as_bytes()).map_err(|_| CallError::NotAList)
 }
--- a/crates/balancer-agent/src/discovery/open_calls.rs
+++ b/crates/balancer-agent/src/discovery/open_calls.rs
@@ -1,6 +1,6 @@
 //! The calls of a watch that wait for their responses.
 
-use super::call::{Call, CallResponse};
+use super::call::{Call, CallError, CallResponse};
 use std::time::Duration;
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::Instant;
@@ -17,7 +17,7 @@
 pub struct OpenCalls {
     /// Oldest first.
     calls: Vec<OpenCall>,
-    tasks: JoinSet<Option<CallResponse>>,
+    tasks: JoinSet<Result<CallResponse, CallError>>,
 }
 
 struct OpenCall {
@@ -32,8 +32,8 @@
     pub after_version: Option<u64>,
     /// Whether no call that was made later is open.
     pub is_newest: bool,
-    /// The response, or `None` if the call failed.
-    pub response: Option<CallResponse>,
+    /// The response, or why the call failed.
+    pub result: Result<CallResponse, CallError>,
 }
 
 impl OpenCalls {
@@ -58,18 +58,18 @@
     /// their responses would contain nothing new. Returns `None` if no call is open.
     pub async fn next_ended(&mut self) -> Option<EndedCall> {
         loop {
-            let (id, response) = match self.tasks.join_next_with_id().await? {
-                Ok((id, response)) => (id, response),
-                Err(error) => (error.id(), None),
+            let (id, result) = match self.tasks.join_next_with_id().await? {
+                Ok((id, result)) => (id, result),
+                Err(error) => (error.id(), Err(CallError::Panicked)),
             };
             // A call that was given up is no longer in the list.
             let Some(position) = self.calls.iter().position(|call| call.task.id() == id) else { continue };
             let is_newest = position + 1 == self.calls.len();
             let call = self.calls.remove(position);
-            if response.is_some() {
+            if result.is_ok() {
                 self.calls.drain(..position).for_each(|older| older.task.abort());
             }
-            return Some(EndedCall { after_version: call.after_version, is_newest, response });
+            return Some(EndedCall { after_version: call.after_version, is_newest, result });
         }
     }
 }
--- a/crates/balancer-agent/src/discovery/tests/test_discovery.rs
+++ b/crates/balancer-agent/src/discovery/tests/test_discovery.rs
@@ -24,10 +24,12 @@
 }
 
 /// A reply to one call.
-#[derive(Clone, Copy)]
+#[derive(Clone)]
 pub enum Reply {
     /// The service sends the list with this version after this time.
     List(u64, Duration),
+    /// The service sends this text at once.
+    Text(String),
     /// The service closes the connection after this time.
     Close(Duration),
 }
@@ -92,7 +94,7 @@
     async fn respond(&self, target: &str, call_count: usize) -> Option<String> {
         let reply = match &self.responses {
             Responses::After(delay) => Some(Reply::List(self.wait_for_change(target).await, *delay)),
-            Responses::InTurn(replies) => replies.get(call_count - 1).copied(),
+            Responses::InTurn(replies) => replies.get(call_count - 1).cloned(),
             Responses::Never => None,
         };
         match reply {
@@ -100,6 +102,7 @@
                 sleep(delay).await;
                 Some(list(version))
             }
+            Some(Reply::Text(text)) => Some(text),
             Some(Reply::Close(delay)) => {
                 sleep(delay).await;
                 None
--- a/crates/balancer-agent/src/discovery/watch.rs
+++ b/crates/balancer-agent/src/discovery/watch.rs
@@ -1,9 +1,10 @@
 //! The watch: which call follows which, and which lists are passed on.
 
-use super::call::{Call, Connection};
+use super::call::{Call, CallError, Connection};
 use super::open_calls::{EndedCall, OpenCalls};
 use super::watch_event::{WatchEvent, WatchHandler};
 use crate::endpoint_list::EndpointList;
+use crate::logging::log_line;
 use std::future::pending;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -24,12 +25,21 @@
     calls: OpenCalls,
     /// Whether the watch has failed and has not been reopened.
     has_failed: bool,
+    /// The errors that have been logged since the last list.
+    logged_errors: Vec<CallError>,
 }
 
 impl<Handler: WatchHandler> Watch<Handler> {
     /// Creates a watch that begins with the changes after `version`, or with the complete list.
     pub fn new(address: SocketAddr, version: Option<u64>, handler: Rc<Handler>) -> Self {
-        Watch { address, version, handler, calls: OpenCalls::default(), has_failed: false }
+        Watch {
+            address,
+            version,
+            handler,
+            calls: OpenCalls::default(),
+            has_failed: false,
+            logged_errors: Vec::new(),
+        }
     }
 
     /// Runs the watch. Each notification of `reopen` reopens the watch if it has failed. Never returns.
@@ -65,12 +75,17 @@
     /// Passes on the list of a call that has ended. The watch continues with the next call, unless a call
     /// that was made later is still open.
     fn end_call(&mut self, ended: EndedCall) {
-        let Some(response) = ended.response else {
-            if ended.is_newest && !self.has_failed {
-                self.fail();
+        let response = match ended.result {
+            Ok(response) => response,
+            Err(error) => {
+                self.log_once(error);
+                if ended.is_newest && !self.has_failed {
+                    self.fail();
+                }
+                return;
             }
-            return;
         };
+        self.logged_errors.clear();
         self.pass_on(response.list, ended.after_version);
         if ended.is_newest {
             self.has_failed = false;
@@ -78,6 +93,14 @@
         }
     }
 
+    /// Logs the error of a call, unless the same error has been logged since the last list.
+    fn log_once(&mut self, error: CallError) {
+        if !self.logged_errors.contains(&error) {
+            self.logged_errors.push(error);
+            log_line!("discovery at {}: {error}; the known servers stay in use", self.address);
+        }
+    }
+
     /// Passes on a list, unless a newer list has been passed on since its call was made.
     fn pass_on(&mut self, list: EndpointList, after_version: Option<u64>) {
         let is_overtaken = self.version != after_version && Some(list.version) < self.version;
--- a/crates/balancer-agent/src/endpoint_list.rs
+++ b/crates/balancer-agent/src/endpoint_list.rs
@@ -1,6 +1,9 @@
 //! The endpoint list in the form in which discovery sends it (PROTOCOL page, "Discovery").
 
+use serde::de::{Error, IgnoredAny, MapAccess, SeqAccess, Visitor};
+use serde::{Deserialize, Deserializer};
 use serde_json::Value;
+use std::fmt;
 use std::net::SocketAddr;
 
 /// A complete endpoint list, or the entries that have changed since an earlier version of the list.
@@ -49,18 +52,78 @@
 }
 
 impl EndpointList {
-    /// Parses a list. Returns `None` if the value is not an endpoint list. Skips invalid entries, so that the
-    /// other entries can be used.
+    /// Parses a list. Returns `None` if the value is not an endpoint list.
     pub fn parse(value: &Value) -> Option<Self> {
-        let entries = value.get("hosts")?.as_array()?;
-        Some(EndpointList {
-            version: value.get("seq")?.as_u64()?,
-            is_complete: value.get("whole").and_then(Value::as_bool).unwrap_or(false),
-            entries: entries.iter().filter_map(EndpointEntry::parse).collect(),
+        EndpointList::deserialize(value).ok()
+    }
+}
+
+impl<'de> Deserialize<'de> for EndpointList {
+    /// Deserializes a list. Skips invalid entries, so that the other entries can be used.
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_map(ListVisitor)
+    }
+}
+
+/// Builds a list from its fields.
+struct ListVisitor;
+
+impl<'de> Visitor<'de> for ListVisitor {
+    type Value = EndpointList;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("an endpoint list")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut fields: A) -> Result<EndpointList, A::Error> {
+        let mut version = None;
+        let mut is_complete = false;
+        let mut entries = None;
+        while let Some(key) = fields.next_key::<String>()? {
+            match key.as_str() {
+                "seq" => version = Some(fields.next_value()?),
+                "whole" => is_complete = fields.next_value::<Value>()?.as_bool().unwrap_or(false),
+                "hosts" => entries = Some(fields.next_value::<Entries>()?.0),
+                _ => drop(fields.next_value::<IgnoredAny>()?),
+            }
+        }
+        Ok(EndpointList {
+            version: version.ok_or_else(|| A::Error::missing_field("seq"))?,
+            is_complete,
+            entries: entries.ok_or_else(|| A::Error::missing_field("hosts"))?,
         })
     }
 }
 
+/// The valid entries of a list. Only one entry at a time is held as a [`Value`], which takes many times the
+/// memory of an [`EndpointEntry`].
+struct Entries(Vec<EndpointEntry>);
+
+impl<'de> Deserialize<'de> for Entries {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_seq(EntriesVisitor)
+    }
+}
+
+/// Collects the valid entries of a list.
+struct EntriesVisitor;
+
+impl<'de> Visitor<'de> for EntriesVisitor {
+    type Value = Entries;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("the entries of an endpoint list")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut values: A) -> Result<Entries, A::Error> {
+        let mut entries = Vec::new();
+        while let Some(value) = values.next_element::<Value>()? {
+            entries.extend(EndpointEntry::parse(&value));
+        }
+        Ok(Entries(entries))
+    }
+}
+
 impl EndpointEntry {
     /// Parses an entry, or returns `None` if the entry is invalid.
     fn parse(value: &Value) -> Option<Self> {
