Unknown fields of a list take no memory, and deep nesting is rejected

Cause: serde's IgnoredAny skips a value without a limit on its nesting, where a tree of values had rejected it.

Change: fields are deserialized as FieldValue, which keeps scalars and the fields of an entry, drops the rest, and goes through the parser's limit on nesting. So no tree of values is built at all, also not for one entry.

--- a/crates/balancer-agent/src/endpoint_list.rs
+++ b/crates/balancer-agent/src/endpoint_list.rs
@@ -1,6 +1,9 @@
 //! The endpoint list in the form in which discovery sends it (PROTOCOL page, "Discovery").
 
-use serde::de::{Error, IgnoredAny, MapAccess, SeqAccess, Visitor};
+mod field_value;
+
+use field_value::{EntryFields, FieldValue};
+use serde::de::{Error, MapAccess, SeqAccess, Visitor};
 use serde::{Deserialize, Deserializer};
 use serde_json::Value;
 use std::fmt;
@@ -76,27 +79,26 @@
     }
 
     fn visit_map<A: MapAccess<'de>>(self, mut fields: A) -> Result<EndpointList, A::Error> {
-        let mut version = None;
-        let mut is_complete = false;
+        let mut version = FieldValue::default();
+        let mut is_complete = FieldValue::default();
         let mut entries = None;
         while let Some(key) = fields.next_key::<String>()? {
             match key.as_str() {
-                "seq" => version = Some(fields.next_value()?),
-                "whole" => is_complete = fields.next_value::<Value>()?.as_bool().unwrap_or(false),
+                "seq" => version = fields.next_value()?,
+                "whole" => is_complete = fields.next_value()?,
                 "hosts" => entries = Some(fields.next_value::<Entries>()?.0),
-                _ => drop(fields.next_value::<IgnoredAny>()?),
+                _ => drop(fields.next_value::<FieldValue>()?),
             }
         }
         Ok(EndpointList {
-            version: version.ok_or_else(|| A::Error::missing_field("seq"))?,
-            is_complete,
+            version: version.integer().ok_or_else(|| A::Error::missing_field("seq"))?,
+            is_complete: is_complete == FieldValue::Boolean(true),
             entries: entries.ok_or_else(|| A::Error::missing_field("hosts"))?,
         })
     }
 }
 
-/// The valid entries of a list. Only one entry at a time is held as a [`Value`], which takes many times the
-/// memory of an [`EndpointEntry`].
+/// The valid entries of a list.
 struct Entries(Vec<EndpointEntry>);
 
 impl<'de> Deserialize<'de> for Entries {
@@ -117,33 +119,33 @@
 
     fn visit_seq<A: SeqAccess<'de>>(self, mut values: A) -> Result<Entries, A::Error> {
         let mut entries = Vec::new();
-        while let Some(value) = values.next_element::<Value>()? {
-            entries.extend(EndpointEntry::parse(&value));
+        while let Some(value) = values.next_element()? {
+            if let FieldValue::Object(fields) = value {
+                entries.extend(EndpointEntry::from_fields(*fields));
+            }
         }
         Ok(Entries(entries))
     }
 }
 
 impl EndpointEntry {
-    /// Parses an entry, or returns `None` if the entry is invalid.
-    fn parse(value: &Value) -> Option<Self> {
-        let text = |key: &str| value.get(key).and_then(Value::as_str);
-        let number = |key: &str| value.get(key).and_then(Value::as_f64);
-        let cell = value.get("block").and_then(Value::as_u64);
-        let status = EntryStatus::parse(text("health")?)?;
-        let address = text("dial").and_then(|address| address.parse().ok());
+    /// Creates an entry, or returns `None` if its fields are invalid.
+    fn from_fields(fields: EntryFields) -> Option<Self> {
+        let status = EntryStatus::parse(&fields.health.into_text())?;
+        let address = fields.dial.into_text().parse().ok();
         if address.is_none() && status == EntryStatus::Serving {
             return None;
         }
+        let cell = fields.block.integer();
         Some(EndpointEntry {
-            name: text("host").filter(|name| !name.is_empty())?.to_owned(),
+            name: Some(fields.host.into_text()).filter(|name| !name.is_empty())?,
             address,
-            zone: text("site").unwrap_or_default().to_owned(),
-            machine_kind: text("class").unwrap_or_default().to_owned(),
+            zone: fields.site.into_text(),
+            machine_kind: fields.class.into_text(),
             cell: cell.and_then(|cell| u32::try_from(cell).ok()).unwrap_or(0),
             status,
-            weight: number("share").unwrap_or(1.0),
-            started_at_ms: number("born_ms").unwrap_or(0.0),
+            weight: fields.share.number().unwrap_or(1.0),
+            started_at_ms: fields.born_ms.number().unwrap_or(0.0),
         })
     }
 }
