Clients that stop within a request make room for others, with a response

Cause: only connections without any byte of a request could be evicted. A peer that had sent one byte held its slot for 2.3 s, and with all 116 slots held, the acceptor and the kernel's queue behind it waited.

Ruled out: memory (64 MB for 116 connections), and failed accepts (the system allowed 20,000 descriptors).

Change: listener/eviction owns who gives way. After connections without a request and idle ones comes a partial request of which nothing has arrived for 0.1 s, then one that has been arriving for 0.25 s. It gets 429 before its connection is closed; nothing of it was forwarded. Bytes that have arrived by then are read first, and a request that is complete is served. The rank is looked at again when an eviction is carried out. A partial request at its time limit gets 408 in the same way, where its connection was closed before.

Tests of the agent: all pass, soak and memory among them.

--- a/crates/balancer-agent/src/framing/client_stream.rs
+++ b/crates/balancer-agent/src/framing/client_stream.rs
@@ -68,6 +68,9 @@
         let room = ready!(self.framer.poll_room(cx)).min(READ_BUFFER_BYTES);
         let mut bytes = [0; READ_BUFFER_BYTES];
         let length = ready!(self.poll_receive(cx, &mut bytes[..room]))?;
+        if length > 0 {
+            self.state.record_bytes();
+        }
         self.framer.push(&bytes[..length], &self.state);
         Poll::Ready(Ok(length > 0))
     }
--- a/crates/balancer-agent/src/framing/connection_state.rs
+++ b/crates/balancer-agent/src/framing/connection_state.rs
@@ -48,6 +48,7 @@
 pub struct ConnectionState {
     phase: Cell<Phase>,
     phase_since: Cell<Instant>,
+    last_received_at: Cell<Instant>,
     last_response: Cell<LastResponse>,
     framing_fault: Cell<Option<FramingFault>>,
     /// The waker of the reader, which reads the next request once the current response has been written.
@@ -60,6 +61,7 @@
         Rc::new(ConnectionState {
             phase: Cell::new(Phase::Silent),
             phase_since: Cell::new(Instant::now()),
+            last_received_at: Cell::new(Instant::now()),
             last_response: Cell::new(LastResponse::None),
             framing_fault: Cell::new(None),
             waiting_reader: RefCell::new(None),
@@ -76,6 +78,11 @@
         self.phase_since.get()
     }
 
+    /// Returns when bytes were received last, or when the connection was accepted if there were none.
+    pub fn last_received_at(&self) -> Instant {
+        self.last_received_at.get()
+    }
+
     /// Returns whether a response has been written on the connection.
     pub fn has_sent_response(&self) -> bool {
         self.last_response.get() != LastResponse::None
@@ -86,6 +93,11 @@
         self.framing_fault.get()
     }
 
+    /// Records that bytes have been received.
+    pub fn record_bytes(&self) {
+        self.last_received_at.set(Instant::now());
+    }
+
     /// Records that bytes of a request have been received.
     pub fn record_request_bytes(&self) {
         match self.phase.get() {
--- a/crates/balancer-agent/src/listener.rs
+++ b/crates/balancer-agent/src/listener.rs
@@ -4,7 +4,9 @@
 mod acceptor;
 mod client_connection;
 mod connection_table;
+mod eviction;
 mod invalid_request;
+mod rejection;
 mod request_handler;
 mod response;
 mod shutdown;
@@ -62,9 +64,9 @@
 
     /// Runs the accept loop until a graceful shutdown ends it.
     ///
-    /// A connection is accepted even if all slots are in use. In that case, connections without a request are
-    /// evicted until a slot is free for the new connection. Without evictions, hundreds of unused connections
-    /// could lock other clients out.
+    /// A connection is accepted even if all slots are in use. In that case, connections without a complete request
+    /// are evicted until a slot is free for the new connection. Without evictions, hundreds of clients that send
+    /// nothing, or stop within a request, could lock other clients out.
     pub async fn accept(self: Rc<Self>, socket: TcpListener) {
         let acceptor = Acceptor::new(socket);
         while let Some(stream) = acceptor.next_connection(&self.shutdown).await {
--- a/crates/balancer-agent/src/listener/client_connection.rs
+++ b/crates/balancer-agent/src/listener/client_connection.rs
@@ -1,10 +1,13 @@
 //! A client connection, and the loop that serves its requests until the connection is closed: by the client,
 //! at a time limit, by an eviction, or during a shutdown.
 
+use super::eviction::EvictionRank;
+use super::invalid_request::InvalidRequest;
+use super::rejection::reject_partial_request;
 use super::response::ClientResponse;
 use super::shutdown::ShutdownSignal;
 use super::slot_usage::SlotUsage;
-use super::time_limits::TimeLimits;
+use super::time_limits::{TimeLimits, CLOSE_TIMEOUT};
 use crate::framing::{ClientStream, ConnectionState, Phase, MAX_HEAD_BYTES};
 use crate::memory::{MemoryBudget, Reservation};
 use hyper::body::Incoming;
@@ -12,19 +15,20 @@
 use hyper::service::Service;
 use hyper::Request;
 use std::convert::Infallible;
-use std::pin::pin;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::{sleep_until, Instant};
+use tokio::task::yield_now;
+use tokio::time::{sleep_until, timeout, Instant};
 
 /// The interval at which a connection's time limit is computed again. The limit changes with the connection's
 /// phase and with the number of other connections.
 const LIMIT_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// The id of a connection. Ids are not reused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub struct ConnectionId(u64);
 
 impl ConnectionId {
@@ -41,8 +45,20 @@
     Finished,
     /// The connection exceeded the time limit of this phase.
     TimedOut(Phase),
-    /// The connection was closed to make room for another one.
-    Evicted,
+    /// The connection was closed in this phase to make room for another one.
+    Evicted(Phase),
+}
+
+impl CloseReason {
+    /// Returns the reason for which a request that has been received only in part is rejected, or `None` if the
+    /// connection has no such request.
+    fn rejection(self) -> Option<InvalidRequest> {
+        match self {
+            CloseReason::TimedOut(Phase::Receiving) => Some(InvalidRequest::RequestTimeout),
+            CloseReason::Evicted(Phase::Receiving) => Some(InvalidRequest::NoCapacity),
+            CloseReason::Finished | CloseReason::TimedOut(_) | CloseReason::Evicted(_) => None,
+        }
+    }
 }
 
 /// A client connection that has been accepted. The task that serves the connection and the connection table
@@ -79,8 +95,8 @@
         &self.state
     }
 
-    /// Requests the eviction of the connection. The task that serves the connection then closes it, unless at
-    /// least a part of a request has been received by then.
+    /// Requests the eviction of the connection. The task that serves the connection then closes it, unless what
+    /// has been received by then no longer permits it.
     pub fn request_eviction(&self) {
         self.eviction_requested.notify_one();
     }
@@ -88,7 +104,8 @@
     /// Serves the requests that are received over the stream, until the connection is closed.
     ///
     /// The connection is closed when the client closes it, a time limit expires, or it is evicted. During a
-    /// shutdown, it is closed after its last response. Returns why it is closed. `slot_usage` returns the current slot usage.
+    /// shutdown, it is closed after its last response. A request that has been received only in part is rejected
+    /// before. Returns why the connection is closed. `slot_usage` returns the current slot usage.
     pub async fn serve<S>(
         &self,
         stream: TcpStream,
@@ -104,7 +121,26 @@
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES).max_header_size(MAX_HEAD_BYTES);
         let stream = ClientStream::new(stream, self.state.clone(), self.memory.clone());
-        let mut http_connection = pin!(builder.serve_connection(stream, service));
+        let mut http_connection = builder.serve_connection(stream, service);
+        let reason = self.serve_until_close(&mut http_connection, &limits, slot_usage, shutdown).await;
+        if let Some(rejection) = reason.rejection() {
+            self.reject(http_connection.into_parts().io, rejection, reason).await;
+        }
+        reason
+    }
+
+    /// Serves requests until the connection is to be closed. Returns the reason.
+    async fn serve_until_close<S>(
+        &self,
+        http_connection: &mut http1::Connection<ClientStream, S>,
+        limits: &TimeLimits,
+        slot_usage: impl Fn() -> SlotUsage,
+        shutdown: &ShutdownSignal,
+    ) -> CloseReason
+    where
+        S: Service<Request<Incoming>, Response = ClientResponse, Error = Infallible>,
+    {
+        let mut http_connection = Pin::new(http_connection);
         let mut is_shutting_down = false;
         loop {
             let limit = limits.current(&self.state, slot_usage(), shutdown.schedule());
@@ -120,9 +156,9 @@
                 // An error means that the client has disconnected or has sent malformed bytes. Either affects
                 // only this connection.
                 _ = http_connection.as_mut() => return CloseReason::Finished,
-                () = self.eviction_requested.notified() => {
-                    if !self.has_request() {
-                        return CloseReason::Evicted;
+                () = self.eviction_due() => {
+                    if EvictionRank::of(&self.state).is_some() {
+                        return CloseReason::Evicted(self.state.phase());
                     }
                 }
                 _ = shutdown.started(), if !is_shutting_down => {
@@ -136,11 +172,24 @@
         }
     }
 
-    /// Returns whether a request has been received at least in part, and its response is not written yet.
-    fn has_request(&self) -> bool {
-        match self.state.phase() {
-            Phase::Receiving | Phase::Processing | Phase::Responding => true,
-            Phase::Silent | Phase::Idle | Phase::Closing => false,
+    /// Waits until an eviction is requested, and until the runtime has noticed the bytes that had arrived by then.
+    async fn eviction_due(&self) {
+        self.eviction_requested.notified().await;
+        yield_now().await;
+    }
+
+    /// Rejects the request that is being received, and waits for the client to close the connection unless the
+    /// connection is needed for another client.
+    async fn reject(&self, stream: ClientStream, rejection: InvalidRequest, reason: CloseReason) {
+        let linger = match reason {
+            CloseReason::Evicted(_) => Duration::ZERO,
+            CloseReason::Finished | CloseReason::TimedOut(_) => CLOSE_TIMEOUT,
+        };
+        // The connection is closed whether or not the client has received the response.
+        tokio::select! {
+            biased;
+            _ = timeout(linger, reject_partial_request(stream, &self.state, rejection)) => {}
+            () = self.eviction_requested.notified() => {}
         }
     }
 
--- a/crates/balancer-agent/src/listener/connection_table.rs
+++ b/crates/balancer-agent/src/listener/connection_table.rs
@@ -1,12 +1,10 @@
 //! The table of open client connections.
 //!
-//! Each connection occupies a slot. When all slots are in use, the agent evicts connections: it closes
-//! connections without a request to free a slot.
+//! Each connection occupies a slot. When all slots are in use, the agent evicts connections to free a slot.
 
 use super::client_connection::{ClientConnection, ConnectionId};
+use super::eviction::EvictionRank;
 use super::slot_usage::SlotUsage;
-use super::time_limits::{MIN_IDLE_TIME, MIN_SILENT_TIME};
-use crate::framing::{ConnectionState, Phase};
 use crate::memory::{MemoryBudget, Purpose, Reservation};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -14,7 +12,7 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::task::yield_now;
-use tokio::time::{timeout, Instant};
+use tokio::time::timeout;
 
 /// The interval at which a wait for a slot searches for a connection that has become evictable.
 const EVICTION_INTERVAL: Duration = Duration::from_millis(20);
@@ -108,42 +106,14 @@
         }
     }
 
-    /// Requests the eviction of the evictable connection with the lowest [`EvictionRank`], if there is one.
-    /// Closing this connection costs its client least.
+    /// Requests the eviction of the connection with the lowest [`EvictionRank`], if one may be evicted.
     fn evict_one(&self) {
         let connections = self.connections.borrow();
-        let evictable = connections.values().filter(|connection| is_evictable(connection.state()));
-        if let Some(connection) = evictable.min_by_key(|connection| EvictionRank::of(connection.state())) {
+        let evictable = connections
+            .iter()
+            .filter_map(|(id, connection)| Some(((EvictionRank::of(connection.state())?, *id), connection)));
+        if let Some((_, connection)) = evictable.min_by(|(key, _), (other, _)| key.cmp(other)) {
             connection.request_eviction();
         }
     }
 }
-
-/// Returns whether a connection may be evicted now. A connection with an open or partly received request is
-/// never evicted.
-fn is_evictable(state: &ConnectionState) -> bool {
-    let time_in_phase = state.phase_since().elapsed();
-    match state.phase() {
-        Phase::Silent => time_in_phase >= MIN_SILENT_TIME,
-        Phase::Idle => time_in_phase >= MIN_IDLE_TIME,
-        Phase::Closing => true,
-        Phase::Receiving | Phase::Processing | Phase::Responding => false,
-    }
-}
-
-/// The rank of an evictable connection in the order of eviction; the lowest rank comes first.
-///
-/// Silent and closing connections come before idle ones. Among equals, the connection that has been in its
-/// phase the longest comes first.
-#[derive(PartialEq, Eq, PartialOrd, Ord)]
-struct EvictionRank {
-    is_idle: bool,
-    phase_since: Instant,
-}
-
-impl EvictionRank {
-    /// Returns the rank of a connection in this state.
-    fn of(state: &ConnectionState) -> Self {
-        EvictionRank { is_idle: state.phase() == Phase::Idle, phase_since: state.phase_since() }
-    }
-}
--- a/crates/balancer-agent/src/listener/invalid_request.rs
+++ b/crates/balancer-agent/src/listener/invalid_request.rs
@@ -41,30 +41,30 @@
     /// The request has no idempotency key, which its class requires.
     #[error("this class needs an Idempotency-Key")]
     MissingIdempotencyKey,
-    /// There is no memory for the request. It was not forwarded.
+    /// There is no memory or no connection slot for the request. It was not forwarded.
     #[error("refused; trying again is harmless")]
-    OutOfMemory,
+    NoCapacity,
     /// The request's body exceeds the size limit.
     #[error("a body holds at most 64 KiB")]
     BodyTooLarge,
     /// The request's body is malformed, or the stream ended before the end of the body.
     #[error("the body did not come whole")]
     IncompleteBody,
-    /// The request's body was not received completely within the read timeout.
-    #[error("the body did not come in time")]
-    BodyTimeout,
+    /// The request was not received completely within the read timeout.
+    #[error("the request did not come in time")]
+    RequestTimeout,
 }
 
 impl InvalidRequest {
     /// Returns the status of the response to the client.
-    fn status(self) -> StatusCode {
+    pub fn status(self) -> StatusCode {
         match self {
             InvalidRequest::UnknownClass => StatusCode::NOT_FOUND,
             InvalidRequest::RequestIdInUse | InvalidRequest::RequestIdMayHaveRun => StatusCode::CONFLICT,
             InvalidRequest::WrongMethod { .. } => StatusCode::METHOD_NOT_ALLOWED,
-            InvalidRequest::OutOfMemory => StatusCode::TOO_MANY_REQUESTS,
+            InvalidRequest::NoCapacity => StatusCode::TOO_MANY_REQUESTS,
             InvalidRequest::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            InvalidRequest::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
+            InvalidRequest::RequestTimeout => StatusCode::REQUEST_TIMEOUT,
             InvalidRequest::AmbiguousLength
             | InvalidRequest::ClassMismatch
             | InvalidRequest::BadRequestId
--- a/crates/balancer-agent/src/listener/request_handler.rs
+++ b/crates/balancer-agent/src/listener/request_handler.rs
@@ -124,7 +124,7 @@
         match reason {
             CloseReason::Finished | CloseReason::TimedOut(Phase::Silent | Phase::Idle | Phase::Closing) => {}
             CloseReason::TimedOut(phase) => activity.record(&Event::TimedOut { phase }),
-            CloseReason::Evicted => activity.record(&Event::Evicted),
+            CloseReason::Evicted(_) => activity.record(&Event::Evicted),
         }
     }
 
--- a/crates/balancer-agent/src/listener/tests.rs
+++ b/crates/balancer-agent/src/listener/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of one client connection: socket options that cannot be set, read timeouts, shutdown and eviction.
 
-use super::time_limits::{CLOSE_TIMEOUT, READ_TIMEOUT};
+use super::eviction::EvictionRank;
+use super::time_limits::{CLOSE_TIMEOUT, MIN_SILENT_TIME, READ_TIMEOUT};
 use super::*;
 use crate::config::Config;
 use crate::endpoint_list::EndpointList;
@@ -285,6 +286,82 @@
     LocalSet::new().run_until(scenario).await;
 }
 
+/// Guards against requests that are not read in time because other clients have stopped within theirs and hold all
+/// slots until the read timeout. Such clients are rejected to make room.
+#[tokio::test(start_paused = true)]
+async fn clients_that_stop_within_a_request_make_room_for_others() {
+    let body_request = [&REQUEST[..REQUEST.len() - 2], b"Content-Length: 10\r\n\r\nbody"].concat();
+    let chunked_request =
+        [&REQUEST[..REQUEST.len() - 2], b"Transfer-Encoding: chunked\r\n\r\n9\r\nbody"].concat();
+    for partial_request in [&REQUEST[..1], &REQUEST[..REQUEST.len() - 2], &body_request, &chunked_request] {
+        let scenario = async {
+            let listener = start_listener();
+            let mut clients = Vec::new();
+            while let Some(slot) = listener.connections.free_slot() {
+                let SocketPair { agent_end, mut client_end } = SocketPair::without_tcp_options();
+                spawn_local(listener.clone().run_connection(agent_end, listener.connections.open(slot)));
+                client_end.write_all(partial_request).await.expect("the bytes are written");
+                clients.push(client_end);
+            }
+            sleep(SOCKET_POLL_TIME).await;
+            let asked_at = Instant::now();
+
+            let slot = listener.connections.wait_for_slot(|| false).await;
+
+            assert!(asked_at.elapsed() <= 2 * MIN_SILENT_TIME, "{:?}", asked_at.elapsed());
+            drop(slot);
+            let mut response = String::new();
+            let evicted = &mut clients[0];
+            // The connection is closed after the response, in good order.
+            evicted.read_to_string(&mut response).await.expect("a response and the end of the stream");
+            assert!(response.starts_with("HTTP/1.1 429 "), "{response}");
+            assert!(response.ends_with("\r\n\r\nrefused; trying again is harmless\n"), "{response}");
+        };
+        LocalSet::new().run_until(scenario).await;
+    }
+}
+
+/// Guards against a request that is rejected although its last byte has arrived before its eviction.
+#[tokio::test]
+async fn a_stalled_request_that_becomes_complete_before_its_eviction_is_served() {
+    let scenario = async {
+        let mut connection = TestConnection::open(&start_listener());
+        let (first_half, second_half) = REQUEST.split_at(REQUEST.len() / 2);
+        connection.send(first_half).await;
+        connection.stay_open_for(2 * MIN_SILENT_TIME).await;
+        assert!(EvictionRank::of(connection.table_entry.state()).is_some());
+
+        connection.table_entry.request_eviction();
+        connection.send(second_half).await;
+
+        connection.reach(Phase::Processing).await;
+        assert!(connection.poll_once().await, "the connection is closed");
+    };
+    LocalSet::new().run_until(scenario).await;
+}
+
+/// Guards against a connection that is closed without a response although a request has been read in part.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_does_not_become_complete_in_time_gets_a_response() {
+    let scenario = async {
+        let mut connection = TestConnection::open(&start_listener());
+        let accepted_at = Instant::now();
+        connection.send(&REQUEST[..REQUEST.len() - 2]).await;
+        let mut response_start = [0; 12];
+
+        tokio::select! {
+            () = connection.serving.as_mut() => panic!("the connection is closed"),
+            read = connection.client.read_exact(&mut response_start) => assert!(read.is_ok()),
+        }
+
+        assert_eq!(&response_start, b"HTTP/1.1 408");
+        assert!(accepted_at.elapsed() <= READ_TIMEOUT + SOCKET_POLL_TIME, "{:?}", accepted_at.elapsed());
+        connection.serving.as_mut().await;
+        assert!(accepted_at.elapsed() <= READ_TIMEOUT + CLOSE_TIMEOUT + SOCKET_POLL_TIME);
+    };
+    LocalSet::new().run_until(scenario).await;
+}
+
 /// A client that still sends when its connection is closed sees a reset instead of its response.
 #[tokio::test(start_paused = true)]
 async fn a_request_without_memory_is_rejected_once_it_is_complete() {
--- a/crates/balancer-agent/src/listener/validation.rs
+++ b/crates/balancer-agent/src/listener/validation.rs
@@ -70,7 +70,7 @@
     let request_bytes = REQUEST_OVERHEAD_BYTES + head_memory(&head) + max_body_size;
     let Some(mut memory) = memory.try_reserve(Purpose::Request, request_bytes) else {
         discard_body(body).await;
-        return Err(InvalidRequest::OutOfMemory);
+        return Err(InvalidRequest::NoCapacity);
     };
     let body = read_body(body, max_body_size).await?;
     memory.shrink_to(request_bytes - max_body_size + body.len());
@@ -168,7 +168,7 @@
         Ok(Ok(body)) => Ok(body),
         Ok(Err(BodyError::TooLong)) => Err(InvalidRequest::BodyTooLarge),
         Ok(Err(BodyError::Incomplete)) => Err(InvalidRequest::IncompleteBody),
-        Err(_) => Err(InvalidRequest::BodyTimeout),
+        Err(_) => Err(InvalidRequest::RequestTimeout),
     }
 }
 
--- a/crates/balancer-agent/tests/client_connections.rs
+++ b/crates/balancer-agent/tests/client_connections.rs
@@ -84,6 +84,27 @@
     }
 }
 
+/// Guards against requests without a response in time because clients that stop within a request hold all slots.
+#[tokio::test]
+async fn clients_that_stop_within_a_request_keep_no_other_client_from_its_response() {
+    const TIMEOUT: Duration = Duration::from_secs(1);
+    let server = TestServer::responding_with("x").await;
+    let agent = start_agent_with_low_socket_limit(server.address).await;
+
+    let mut stopped_clients = Vec::new();
+    for number in 0..100 {
+        let request = post_request("/pay", "20000m", "the body");
+        let mut client = agent.connect().await;
+        // Some of the requests end within their head, others within their body.
+        client.send(&request[..request.len() - 1 - number]).await;
+        stopped_clients.push(client);
+    }
+
+    let sent_at = Instant::now();
+    assert_eq!(agent.exchange(&get_request("/read", "1000m")).await.status(), 200);
+    assert!(sent_at.elapsed() < TIMEOUT, "the response took {:?}", sent_at.elapsed());
+}
+
 /// The agent does not evict a connection with an open request, even when all slots are in use.
 #[tokio::test]
 async fn a_connection_with_an_open_request_is_not_evicted() {
