A request that waited for a slot has its deadline from the connect

With evictions that wait is shorter, but not zero.

Change: the acceptor keeps since when its queue has not been empty and when the connections of one full queue were accepted: the earliest time at which a client can have connected. A first request that is complete within 20 ms of being served counts from there; so does its read timeout, which leaves 0.1 s at least. The agent sets the backlog of 128 itself, as the bound rests on it; the library had chosen the same.

--- a/crates/balancer-agent/src/framing/connection_state.rs
+++ b/crates/balancer-agent/src/framing/connection_state.rs
@@ -4,8 +4,12 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::task::Waker;
+use std::time::Duration;
 use tokio::time::Instant;
 
+/// How long it takes at most until bytes that a client sent before its connection was served have been read.
+const MAX_FIRST_READ_TIME: Duration = Duration::from_millis(20);
+
 /// The phase of a client connection in the exchange of requests and responses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
@@ -46,6 +50,10 @@
 /// The state of one client connection. Each `record_` method records an event and makes the transition that
 /// follows from it.
 pub struct ConnectionState {
+    /// The earliest time at which the client can have connected.
+    connected_at: Instant,
+    /// When the agent began to read from the connection.
+    served_since: Instant,
     phase: Cell<Phase>,
     phase_since: Cell<Instant>,
     last_received_at: Cell<Instant>,
@@ -56,9 +64,12 @@
 }
 
 impl ConnectionState {
-    /// Creates the state of a connection that has just been accepted.
-    pub fn new() -> Rc<Self> {
+    /// Creates the state of a connection that is served from now on, and whose client connected at `connected_at`
+    /// at the earliest.
+    pub fn new(connected_at: Instant) -> Rc<Self> {
         Rc::new(ConnectionState {
+            connected_at,
+            served_since: Instant::now(),
             phase: Cell::new(Phase::Silent),
             phase_since: Cell::new(Instant::now()),
             last_received_at: Cell::new(Instant::now()),
@@ -78,6 +89,24 @@
         self.phase_since.get()
     }
 
+    /// Returns the earliest time at which the client can have connected.
+    pub fn connected_at(&self) -> Instant {
+        self.connected_at
+    }
+
+    /// Returns when the last byte of the current request arrived, at the earliest. A request that waited in the
+    /// socket until its connection was served counts from the connect.
+    pub fn request_received_at(&self) -> Instant {
+        let read_at = if self.phase.get() == Phase::Processing { self.phase_since() } else { Instant::now() };
+        let may_have_waited =
+            !self.has_sent_response() && read_at.duration_since(self.served_since) <= MAX_FIRST_READ_TIME;
+        if may_have_waited {
+            self.connected_at
+        } else {
+            read_at
+        }
+    }
+
     /// Returns when bytes were received last, or when the connection was accepted if there were none.
     pub fn last_received_at(&self) -> Instant {
         self.last_received_at.get()
--- a/crates/balancer-agent/src/listener.rs
+++ b/crates/balancer-agent/src/listener.rs
@@ -1,6 +1,7 @@
 //! The agent's server side, which accepts the connections of clients, validates their requests, and writes
 //! one response to each request.
 
+mod accept_queue;
 mod acceptor;
 mod client_connection;
 mod connection_table;
@@ -14,6 +15,8 @@
 mod time_limits;
 mod validation;
 
+pub use acceptor::listen;
+
 use crate::driver::Driver;
 use crate::framing::ConnectionState;
 use crate::memory::MemoryBudget;
@@ -68,11 +71,11 @@
     /// are evicted until a slot is free for the new connection. Without evictions, hundreds of clients that send
     /// nothing, or stop within a request, could lock other clients out.
     pub async fn accept(self: Rc<Self>, socket: TcpListener) {
-        let acceptor = Acceptor::new(socket);
-        while let Some(stream) = acceptor.next_connection(&self.shutdown).await {
+        let mut acceptor = Acceptor::new(socket);
+        while let Some(accepted) = acceptor.next_connection(&self.shutdown).await {
             let slot = self.connections.wait_for_slot(|| self.request_handler.release_memory()).await;
-            let connection = self.connections.open(slot);
-            spawn_local(self.clone().run_connection(stream, connection));
+            let connection = self.connections.open(slot, accepted.connected_at);
+            spawn_local(self.clone().run_connection(accepted.stream, connection));
         }
     }
 
--- a/crates/balancer-agent/src/listener/client_connection.rs
+++ b/crates/balancer-agent/src/listener/client_connection.rs
@@ -74,11 +74,17 @@
 }
 
 impl ClientConnection {
-    /// Creates the state of a connection that has just been accepted, whose memory is `connection_memory`.
-    pub fn new(id: ConnectionId, memory: MemoryBudget, connection_memory: Reservation) -> Self {
+    /// Creates the state of a connection that has got a slot. Its memory is `connection_memory`, and its client
+    /// connected at `connected_at` at the earliest.
+    pub fn new(
+        id: ConnectionId,
+        memory: MemoryBudget,
+        connection_memory: Reservation,
+        connected_at: Instant,
+    ) -> Self {
         ClientConnection {
             id,
-            state: ConnectionState::new(),
+            state: ConnectionState::new(connected_at),
             memory,
             _connection_memory: connection_memory,
             eviction_requested: Notify::new(),
@@ -117,7 +123,7 @@
     where
         S: Service<Request<Incoming>, Response = ClientResponse, Error = Infallible>,
     {
-        let limits = TimeLimits::starting_now(longest_timeout);
+        let limits = TimeLimits::new(&self.state, longest_timeout);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES).max_header_size(MAX_HEAD_BYTES);
         let stream = ClientStream::new(stream, self.state.clone(), self.memory.clone());
--- a/crates/balancer-agent/src/listener/connection_table.rs
+++ b/crates/balancer-agent/src/listener/connection_table.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::task::yield_now;
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 /// The interval at which a wait for a slot searches for a connection that has become evictable.
 const EVICTION_INTERVAL: Duration = Duration::from_millis(20);
@@ -55,11 +55,11 @@
         self.connections.borrow().len()
     }
 
-    /// Adds a connection that has just been accepted.
-    pub fn open(&self, slot: FreeSlot) -> Rc<ClientConnection> {
+    /// Adds a connection that has got a slot, and whose client connected at this time at the earliest.
+    pub fn open(&self, slot: FreeSlot, connected_at: Instant) -> Rc<ClientConnection> {
         let id = self.next_id.get();
         self.next_id.set(id.next());
-        let connection = Rc::new(ClientConnection::new(id, self.memory.clone(), slot.0));
+        let connection = Rc::new(ClientConnection::new(id, self.memory.clone(), slot.0, connected_at));
         self.connections.borrow_mut().insert(id, connection.clone());
         connection
     }
--- a/crates/balancer-agent/src/listener/eviction/tests.rs
+++ b/crates/balancer-agent/src/listener/eviction/tests.rs
@@ -6,7 +6,7 @@
 
 /// Returns the state of a connection on which a request has begun to arrive.
 fn receiving() -> Rc<ConnectionState> {
-    let state = ConnectionState::new();
+    let state = ConnectionState::new(Instant::now());
     state.record_bytes();
     state.record_request_bytes();
     state
@@ -67,7 +67,7 @@
     let stalled = receiving();
     let idle = idle();
     advance(MIN_IDLE_TIME).await;
-    let silent = ConnectionState::new();
+    let silent = ConnectionState::new(Instant::now());
     advance(MIN_SILENT_TIME).await;
     arriving.record_bytes();
 
--- a/crates/balancer-agent/src/listener/request_handler.rs
+++ b/crates/balancer-agent/src/listener/request_handler.rs
@@ -64,7 +64,7 @@
             return Ok(self.readiness_response(shutdown));
         }
         let id = LoggedId::new(header_text(request.headers(), REQUEST_ID_HEADER).unwrap_or_default());
-        let result = self.handle_with_id(request, shutdown).await;
+        let result = self.handle_with_id(request, connection, shutdown).await;
         self.log_result(&id, &result);
         result
     }
@@ -73,9 +73,10 @@
     async fn handle_with_id(
         &self,
         request: Request<Incoming>,
+        connection: &ConnectionState,
         shutdown: &ShutdownSignal,
     ) -> Result<ClientResponse, InvalidRequest> {
-        let mut request = read_request(request, &self.driver, &self.memory).await?;
+        let mut request = read_request(request, connection, &self.driver, &self.memory).await?;
         let _claim = self.claim_id(&mut request)?;
         Ok(self.submit_and_wait(request, shutdown).await)
     }
--- a/crates/balancer-agent/src/listener/tests.rs
+++ b/crates/balancer-agent/src/listener/tests.rs
@@ -83,7 +83,7 @@
     fn open(listener: &Rc<Listener>) -> Self {
         let SocketPair { agent_end, client_end } = SocketPair::without_tcp_options();
         let slot = listener.connections.free_slot().expect("a slot");
-        let table_entry = listener.connections.open(slot);
+        let table_entry = listener.connections.open(slot, Instant::now());
         let serving = Box::pin(listener.clone().serve_connection(agent_end, table_entry.clone()));
         TestConnection { client: client_end, table_entry, serving }
     }
@@ -299,7 +299,11 @@
             let mut clients = Vec::new();
             while let Some(slot) = listener.connections.free_slot() {
                 let SocketPair { agent_end, mut client_end } = SocketPair::without_tcp_options();
-                spawn_local(listener.clone().run_connection(agent_end, listener.connections.open(slot)));
+                spawn_local(
+                    listener
+                        .clone()
+                        .run_connection(agent_end, listener.connections.open(slot, Instant::now())),
+                );
                 client_end.write_all(partial_request).await.expect("the bytes are written");
                 clients.push(client_end);
             }
--- a/crates/balancer-agent/src/listener/time_limits.rs
+++ b/crates/balancer-agent/src/listener/time_limits.rs
@@ -14,9 +14,9 @@
 pub const MIN_IDLE_TIME: Duration = Duration::from_millis(2_050);
 /// The time within which a request must be received completely.
 ///
-/// The time counts from the accept for the first request of a connection, and from the first byte of the
-/// request for later ones (docs/findings/late-request-cut-off.md). If a connection had to wait for a slot
-/// after its accept, the time counts from the end of that wait.
+/// The time counts from the connect for the first request of a connection, and from the first byte of the
+/// request for later ones (docs/findings/late-request-cut-off.md). A connection that had to wait for a slot has
+/// at least [`MIN_SILENT_TIME`] after that.
 ///
 /// Connections without a complete request occupy slots that other clients need. The agent must respond on
 /// such a connection or close it within 3 s (TERMS page, "Peers").
@@ -29,16 +29,20 @@
 
 /// The time limits of one connection.
 pub struct TimeLimits {
-    /// When the connection was accepted, or when a slot became free for the connection if it had to wait.
-    accepted_at: Instant,
+    /// When the first request must have been received completely.
+    first_request_by: Instant,
+    /// Until when the connection may be silent in any case.
+    min_silent_until: Instant,
     longest_timeout: Duration,
 }
 
 impl TimeLimits {
-    /// Creates the limits of a connection that has just been accepted. `longest_timeout` is the longest that
+    /// Creates the limits of a connection that is served from now on. `longest_timeout` is the longest that
     /// clients wait for a response.
-    pub fn starting_now(longest_timeout: Duration) -> Self {
-        TimeLimits { accepted_at: Instant::now(), longest_timeout }
+    pub fn new(state: &ConnectionState, longest_timeout: Duration) -> Self {
+        let min_silent_until = Instant::now() + MIN_SILENT_TIME;
+        let first_request_by = min_silent_until.max(state.connected_at() + READ_TIMEOUT);
+        TimeLimits { first_request_by, min_silent_until, longest_timeout }
     }
 
     /// Returns the time until which the connection may stay in its current phase, or `None` if the phase has
@@ -53,8 +57,7 @@
         match state.phase() {
             Phase::Silent => Some(self.silent_limit(shutdown)),
             Phase::Receiving if state.has_sent_response() => Some(since + READ_TIMEOUT),
-            // The read timeout of the first request counts from the accept.
-            Phase::Receiving => Some(self.accepted_at + READ_TIMEOUT),
+            Phase::Receiving => Some(self.first_request_by),
             // The request handler responds shortly after the request's deadline at the latest.
             Phase::Processing => None,
             // The client has stopped waiting for the response by then.
@@ -67,12 +70,11 @@
     /// Returns the time at which the connection is closed if no byte has been received by then.
     ///
     /// During a shutdown, the limit is no later than the end of the time in which connections are accepted.
-    /// However, a connection may always be silent for [`MIN_SILENT_TIME`] after its accept.
+    /// However, a connection may always be silent for [`MIN_SILENT_TIME`] after it has got its slot.
     fn silent_limit(&self, shutdown: Option<ShutdownSchedule>) -> Instant {
-        let limit = self.accepted_at + READ_TIMEOUT;
-        let Some(schedule) = shutdown else { return limit };
-        let shutdown_limit = schedule.accept_until.max(self.accepted_at + MIN_SILENT_TIME);
-        limit.min(shutdown_limit)
+        let Some(schedule) = shutdown else { return self.first_request_by };
+        let shutdown_limit = schedule.accept_until.max(self.min_silent_until);
+        self.first_request_by.min(shutdown_limit)
     }
 }
 
--- a/crates/balancer-agent/src/listener/time_limits/tests.rs
+++ b/crates/balancer-agent/src/listener/time_limits/tests.rs
@@ -15,11 +15,9 @@
 
 impl Connection {
     async fn accepted_a_second_ago() -> Self {
-        let connection = Connection {
-            state: ConnectionState::new(),
-            limits: TimeLimits::starting_now(LONGEST_TIMEOUT),
-            accepted_at: Instant::now(),
-        };
+        let state = ConnectionState::new(Instant::now());
+        let limits = TimeLimits::new(&state, LONGEST_TIMEOUT);
+        let connection = Connection { state, limits, accepted_at: Instant::now() };
         advance(Duration::from_secs(1)).await;
         connection
     }
@@ -49,6 +47,25 @@
     assert_eq!(connection.limit(SlotUsage::Low), limit, "receiving");
 }
 
+/// Guards against clients that are neither responded to nor disconnected within 3 s because they have waited for a
+/// slot.
+#[tokio::test(start_paused = true)]
+async fn the_wait_for_a_slot_counts_towards_the_first_request() {
+    let connected_at = Instant::now();
+    for (waited, limit) in
+        [(Duration::from_secs(1), READ_TIMEOUT), (READ_TIMEOUT, READ_TIMEOUT + MIN_SILENT_TIME)]
+    {
+        advance(connected_at + waited - Instant::now()).await;
+        let state = ConnectionState::new(connected_at);
+        let limits = TimeLimits::new(&state, LONGEST_TIMEOUT);
+        assert_eq!(limits.current(&state, SlotUsage::High, None), Some(connected_at + limit), "silent");
+
+        state.record_request_bytes();
+
+        assert_eq!(limits.current(&state, SlotUsage::High, None), Some(connected_at + limit), "receiving");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_later_request_is_timed_from_its_first_byte() {
     let connection = Connection::accepted_a_second_ago().await;
@@ -100,7 +117,8 @@
     assert_eq!(limit(&connection.limits), Some(schedule.accept_until));
 
     advance(Duration::from_millis(640)).await;
-    let accepted_late = TimeLimits::starting_now(LONGEST_TIMEOUT);
+    let state = ConnectionState::new(Instant::now());
+    let accepted_late = TimeLimits::new(&state, LONGEST_TIMEOUT);
 
     assert_eq!(limit(&accepted_late), Some(Instant::now() + MIN_SILENT_TIME));
 }
--- a/crates/balancer-agent/src/listener/validation.rs
+++ b/crates/balancer-agent/src/listener/validation.rs
@@ -5,6 +5,7 @@
 use super::time_limits::READ_TIMEOUT;
 use crate::body::{collect_body, BodyError};
 use crate::driver::Driver;
+use crate::framing::ConnectionState;
 use crate::headers::{forwarded_headers, header_text, REQUEST_ID_HEADER};
 use crate::memory::{MemoryBudget, Purpose};
 use crate::request::ClientRequest;
@@ -16,7 +17,7 @@
 use hyper::http::request::Parts;
 use hyper::Request;
 use std::time::Duration;
-use tokio::time::{timeout, Instant};
+use tokio::time::timeout;
 
 /// The header with the name of a request's class.
 const CLASS_HEADER: &str = "x-priority-class";
@@ -49,13 +50,14 @@
 /// The maximum timeout of a request.
 const MAX_TIMEOUT: Duration = Duration::from_secs(600);
 
-/// Reads a client's request completely and validates it.
+/// Reads a client's request completely from its connection and validates it.
 ///
 /// # Errors
 ///
 /// Returns the first reason why the request is invalid.
 pub async fn read_request(
     request: Request<Incoming>,
+    connection: &ConnectionState,
     driver: &Driver,
     memory: &MemoryBudget,
 ) -> Result<ClientRequest, InvalidRequest> {
@@ -80,7 +82,7 @@
         routing_key: routing_key_of(&head),
         cost_hint: cost_hint_of(&head),
         is_client_retry: header_text(&head.headers, CLIENT_RETRY_HEADER) == Some("1"),
-        deadline: Instant::now() + time_for_response(client_timeout),
+        deadline: connection.request_received_at() + time_for_response(client_timeout),
         headers: forwarded_headers(&head.headers),
         method: head.method,
         uri: head.uri,
--- a/crates/balancer-agent/src/main.rs
+++ b/crates/balancer-agent/src/main.rs
@@ -31,7 +31,6 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 
 /// The number of file descriptors that are reserved for files, discovery and the runtime.
@@ -110,7 +109,7 @@
     let name = config.name.clone();
     let address = config.listen_address;
     let listen_error = |source| AgentError::Listen { address, source };
-    let socket = TcpListener::bind(address).await.map_err(listen_error)?;
+    let socket = listener::listen(address).map_err(listen_error)?;
     let bound_address = socket.local_addr().map_err(listen_error)?;
     let longest_timeout = longest_timeout(&config.settings);
     let limits = SocketLimits::divide(config.max_sockets);
--- a/crates/balancer-agent/tests/client_connections.rs
+++ b/crates/balancer-agent/tests/client_connections.rs
@@ -105,6 +105,32 @@
     assert!(sent_at.elapsed() < TIMEOUT, "the response took {:?}", sent_at.elapsed());
 }
 
+/// Guards against a server that is told more time than the client has left, because its request waited for a slot.
+#[tokio::test]
+async fn the_wait_for_a_slot_is_not_part_of_the_time_that_a_server_is_told() {
+    const TIMEOUT: Duration = Duration::from_secs(3);
+    // The pages allow this much more than what is left.
+    const MAX_EXCESS: Duration = Duration::from_millis(150);
+    let mut server = TestServer::responding_with("x").await;
+    let agent = start_agent_with_low_socket_limit(server.address).await;
+
+    let mut stopped_clients = Vec::new();
+    for _ in 0..120 {
+        let mut client = agent.connect().await;
+        client.send("GET /read HTTP/1.1\r\n").await;
+        stopped_clients.push(client);
+    }
+    let sent_at = Instant::now();
+    assert_eq!(agent.exchange(&get_request("/read", "3000m")).await.status(), 200);
+    let elapsed = sent_at.elapsed();
+
+    let request = server.next_request().await;
+    let told = request.header("x-timeout").and_then(|value| value.strip_suffix('u')).expect("microseconds");
+    let told = Duration::from_micros(told.parse().expect("a number"));
+    assert!(elapsed > MAX_EXCESS, "the request did not wait: {elapsed:?}");
+    assert!(told + elapsed <= TIMEOUT + MAX_EXCESS, "told {told:?} after {elapsed:?}");
+}
+
 /// The agent does not evict a connection with an open request, even when all slots are in use.
 #[tokio::test]
 async fn a_connection_with_an_open_request_is_not_evicted() {
