A long head without memory is rejected at once, not waited for

Callers would see: a request with a head of more than 4 KiB, sent while stopped clients hold the memory of heads, got 408 after 2.3 s, though its own time may be shorter.

Change: the buffer asks for memory and does not wait. Without it the request is rejected with 429 in good order, as a body without memory is, and nothing of it was forwarded. Waiting reservations are for responses alone now, so the queue of requests and the stored future are gone.

--- a/crates/balancer-agent/src/framing/client_stream.rs
+++ b/crates/balancer-agent/src/framing/client_stream.rs
@@ -56,8 +56,8 @@
         }
     }
 
-    /// Reads bytes from the socket into the framer once there is memory for them. Returns `false` at the end of
-    /// the stream.
+    /// Reads bytes from the socket into the framer. Returns `false` at the end of the stream. If there is no memory
+    /// for the bytes, records that and reads nothing.
     ///
     /// Bytes that the framer drops are read as well, because the end of the stream can be detected only after
     /// them.
@@ -65,7 +65,11 @@
         if self.is_at_end {
             return Poll::Ready(Ok(false));
         }
-        let room = ready!(self.framer.poll_room(cx)).min(READ_BUFFER_BYTES);
+        let room = self.framer.make_room().min(READ_BUFFER_BYTES);
+        if room == 0 {
+            self.state.record_out_of_memory();
+            return Poll::Pending;
+        }
         let mut bytes = [0; READ_BUFFER_BYTES];
         let length = ready!(self.poll_receive(cx, &mut bytes[..room]))?;
         if length > 0 {
--- a/crates/balancer-agent/src/framing/connection_state.rs
+++ b/crates/balancer-agent/src/framing/connection_state.rs
@@ -34,6 +34,8 @@
     AmbiguousLength,
     /// More bytes than the framer buffers followed the current request, so some of them were dropped.
     ExcessBytes,
+    /// There is no memory for the rest of the current request's head.
+    OutOfMemory,
 }
 
 /// Whether a response has been written on a connection, and whether hyper has read the stream since.
@@ -153,6 +155,11 @@
         self.framing_fault.set(Some(FramingFault::ExcessBytes));
     }
 
+    /// Records that there is no memory for the rest of the current request's head.
+    pub fn record_out_of_memory(&self) {
+        self.framing_fault.set(Some(FramingFault::OutOfMemory));
+    }
+
     /// Records that the response to the current request is known and can be written.
     pub fn record_response_ready(&self) {
         self.enter(Phase::Responding);
--- a/crates/balancer-agent/src/framing/receive_buffer.rs
+++ b/crates/balancer-agent/src/framing/receive_buffer.rs
@@ -1,9 +1,8 @@
 //! The buffer for the bytes that have been received on a client connection and not been consumed.
 
-use crate::memory::{MemoryBudget, PendingReservation, Purpose, Reservation};
+use crate::memory::{MemoryBudget, Purpose, Reservation};
 use bytes::{Buf, BytesMut};
 use std::ops::Deref;
-use std::task::{ready, Context, Poll};
 
 /// The capacity for which every connection has memory, in bytes. A larger buffer reserves the difference.
 const MIN_CAPACITY_BYTES: usize = 4 << 10;
@@ -14,34 +13,17 @@
     memory: MemoryBudget,
     /// The memory beyond [`MIN_CAPACITY_BYTES`].
     reservation: Option<Reservation>,
-    /// The memory that the buffer waits for.
-    pending: Option<PendingReservation>,
 }
 
 impl ReceiveBuffer {
     /// Creates an empty buffer that takes its memory from `memory`.
     pub fn new(memory: MemoryBudget) -> Self {
-        ReceiveBuffer { bytes: BytesMut::new(), memory, reservation: None, pending: None }
+        ReceiveBuffer { bytes: BytesMut::new(), memory, reservation: None }
     }
 
-    /// Waits until bytes can be appended, and returns how many. Memory beyond [`MIN_CAPACITY_BYTES`] is reserved
-    /// only once the buffer is full.
-    pub fn poll_room(&mut self, cx: &mut Context<'_>) -> Poll<usize> {
-        if self.room() == 0 {
-            let capacity = self.capacity() + MIN_CAPACITY_BYTES;
-            let missing = capacity - MIN_CAPACITY_BYTES;
-            let pending = self
-                .pending
-                .get_or_insert_with(|| self.memory.reserve_later(Purpose::ReceiveBuffer, missing));
-            let reservation = ready!(pending.as_mut().poll(cx));
-            self.pending = None;
-            self.grow(capacity, reservation);
-        }
-        Poll::Ready(self.room())
-    }
-
-    /// Returns whether `additional` bytes can be appended now, after reserving memory for them if necessary.
-    pub fn has_room(&mut self, additional: usize) -> bool {
+    /// Returns whether `additional` bytes can be appended. Memory beyond [`MIN_CAPACITY_BYTES`] is reserved only if
+    /// the bytes need it.
+    pub fn make_room(&mut self, additional: usize) -> bool {
         if additional <= self.room() {
             return true;
         }
@@ -55,6 +37,11 @@
         }
     }
 
+    /// Returns how many bytes can be appended with the memory that the buffer has.
+    pub fn room(&self) -> usize {
+        self.capacity() - self.bytes.len()
+    }
+
     /// Appends bytes. The caller must ensure that there is room for them.
     pub fn extend(&mut self, bytes: &[u8]) {
         if self.bytes.capacity() == 0 {
@@ -77,11 +64,6 @@
         MIN_CAPACITY_BYTES + self.reservation.as_ref().map_or(0, Reservation::bytes)
     }
 
-    /// Returns how many bytes can be appended with the memory that the buffer has.
-    fn room(&self) -> usize {
-        self.capacity() - self.bytes.len()
-    }
-
     /// Moves the bytes to a buffer of this capacity. `BytesMut` alone would double its capacity.
     fn grow(&mut self, capacity: usize, reservation: Reservation) {
         let mut grown = BytesMut::with_capacity(capacity);
--- a/crates/balancer-agent/src/framing/request_framer.rs
+++ b/crates/balancer-agent/src/framing/request_framer.rs
@@ -8,7 +8,6 @@
 use super::receive_buffer::ReceiveBuffer;
 use super::MAX_HEAD_BYTES;
 use crate::memory::MemoryBudget;
-use std::task::{Context, Poll};
 
 /// The part of the current request that the framer expects or releases next.
 #[derive(Clone, Copy)]
@@ -51,13 +50,17 @@
         matches!(self.progress, Progress::Closed)
     }
 
-    /// Waits until bytes can be pushed, and returns how many at most. After a complete request, any number can
-    /// be: the stream is read on so that its end is noticed.
-    pub fn poll_room(&mut self, cx: &mut Context<'_>) -> Poll<usize> {
+    /// Returns how many bytes can be pushed at most, which is 0 if there is no memory for a long head. After a
+    /// complete request, any number can be: the stream is read on so that its end is noticed.
+    pub fn make_room(&mut self) -> usize {
         match self.progress {
-            Progress::Complete | Progress::Closed => Poll::Ready(usize::MAX),
+            Progress::Complete | Progress::Closed => usize::MAX,
             Progress::Head | Progress::ChunkHeader | Progress::Body(_) | Progress::Chunk(_) => {
-                self.buffer.poll_room(cx)
+                if self.buffer.make_room(1) {
+                    self.buffer.room()
+                } else {
+                    0
+                }
             }
         }
     }
@@ -67,7 +70,7 @@
     pub fn push(&mut self, bytes: &[u8], connection: &ConnectionState) {
         let is_complete = matches!(self.progress, Progress::Complete);
         let is_too_long = self.buffer.len() + bytes.len() > MAX_HEAD_BYTES;
-        if is_complete && (is_too_long || !self.buffer.has_room(bytes.len())) {
+        if is_complete && (is_too_long || !self.buffer.make_room(bytes.len())) {
             connection.record_excess_bytes();
         } else {
             self.buffer.extend(bytes);
--- a/crates/balancer-agent/src/listener/client_connection.rs
+++ b/crates/balancer-agent/src/listener/client_connection.rs
@@ -8,15 +8,17 @@
 use super::shutdown::ShutdownSignal;
 use super::slot_usage::SlotUsage;
 use super::time_limits::{TimeLimits, CLOSE_TIMEOUT};
-use crate::framing::{ClientStream, ConnectionState, Phase, MAX_HEAD_BYTES};
+use crate::framing::{ClientStream, ConnectionState, FramingFault, Phase, MAX_HEAD_BYTES};
 use crate::memory::{MemoryBudget, Reservation};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::Service;
 use hyper::Request;
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -47,6 +49,8 @@
     TimedOut(Phase),
     /// The connection was closed in this phase to make room for another one.
     Evicted(Phase),
+    /// There was no memory for the head of a request.
+    OutOfMemory,
 }
 
 impl CloseReason {
@@ -55,7 +59,9 @@
     fn rejection(self) -> Option<InvalidRequest> {
         match self {
             CloseReason::TimedOut(Phase::Receiving) => Some(InvalidRequest::RequestTimeout),
-            CloseReason::Evicted(Phase::Receiving) => Some(InvalidRequest::NoCapacity),
+            CloseReason::Evicted(Phase::Receiving) | CloseReason::OutOfMemory => {
+                Some(InvalidRequest::NoCapacity)
+            }
             CloseReason::Finished | CloseReason::TimedOut(_) | CloseReason::Evicted(_) => None,
         }
     }
@@ -162,6 +168,7 @@
                 // An error means that the client has disconnected or has sent malformed bytes. Either affects
                 // only this connection.
                 _ = http_connection.as_mut() => return CloseReason::Finished,
+                () = self.out_of_memory() => return CloseReason::OutOfMemory,
                 () = self.eviction_due() => {
                     if EvictionRank::of(&self.state).is_some() {
                         return CloseReason::Evicted(self.state.phase());
@@ -178,6 +185,13 @@
         }
     }
 
+    /// Waits until there is no memory for a request's head. Only the reader of the connection can record that, so
+    /// this is polled after it and needs no waker.
+    async fn out_of_memory(&self) {
+        let is_out_of_memory = || self.state.framing_fault() == Some(FramingFault::OutOfMemory);
+        poll_fn(|_| if is_out_of_memory() { Poll::Ready(()) } else { Poll::Pending }).await;
+    }
+
     /// Waits until an eviction is requested, and until the runtime has noticed the bytes that had arrived by then.
     async fn eviction_due(&self) {
         self.eviction_requested.notified().await;
@@ -189,7 +203,7 @@
     async fn reject(&self, stream: ClientStream, rejection: InvalidRequest, reason: CloseReason) {
         let linger = match reason {
             CloseReason::Evicted(_) => Duration::ZERO,
-            CloseReason::Finished | CloseReason::TimedOut(_) => CLOSE_TIMEOUT,
+            CloseReason::Finished | CloseReason::TimedOut(_) | CloseReason::OutOfMemory => CLOSE_TIMEOUT,
         };
         // The connection is closed whether or not the client has received the response.
         tokio::select! {
--- a/crates/balancer-agent/src/listener/request_handler.rs
+++ b/crates/balancer-agent/src/listener/request_handler.rs
@@ -21,6 +21,8 @@
 
 /// The path of readiness requests.
 const READINESS_PATH: &str = "/ready";
+/// The text in place of the id of a request whose head has not been received completely.
+const UNKNOWN_ID: &str = "(unknown)";
 /// How long after a request's deadline the handler waits for the final response. After that, the handler
 /// responds itself.
 const DEADLINE_SLACK: Duration = Duration::from_millis(4);
@@ -126,6 +128,10 @@
             CloseReason::Finished | CloseReason::TimedOut(Phase::Silent | Phase::Idle | Phase::Closing) => {}
             CloseReason::TimedOut(phase) => activity.record(&Event::TimedOut { phase }),
             CloseReason::Evicted(_) => activity.record(&Event::Evicted),
+            CloseReason::OutOfMemory => {
+                let id = LoggedId::new(UNKNOWN_ID);
+                activity.record(&Event::Refused { id: &id, reason: &InvalidRequest::NoCapacity });
+            }
         }
     }
 
--- a/crates/balancer-agent/src/listener/tests.rs
+++ b/crates/balancer-agent/src/listener/tests.rs
@@ -228,6 +228,37 @@
     LocalSet::new().run_until(scenario).await;
 }
 
+/// Guards against a request with a long head that waits for memory while other clients hold it, and gets no response
+/// in time. It is rejected in good order, although its client still sends.
+#[tokio::test(start_paused = true)]
+async fn a_long_head_without_memory_is_rejected_at_once() {
+    let scenario = async {
+        let memory = MemoryBudget::for_process(32_000_000);
+        let mut connection = TestConnection::open(&start_listener_with(memory.clone()));
+        let _heads = fill(&memory, Purpose::ReceiveBuffer, 4 << 10);
+        let long_field = format!("\r\nX-Attrs: {}\r\n", "a".repeat(10_000));
+        let request = String::from_utf8_lossy(REQUEST).replacen("\r\n", &long_field, 1);
+        let (first_part, second_part) = request.as_bytes().split_at(5_000);
+        connection.send(first_part).await;
+        let mut response_start = [0; 12];
+        let sent_at = Instant::now();
+
+        tokio::select! {
+            () = connection.serving.as_mut() => panic!("the connection is closed"),
+            read = connection.client.read_exact(&mut response_start) => assert!(read.is_ok()),
+        }
+
+        assert_eq!(&response_start, b"HTTP/1.1 429");
+        assert!(sent_at.elapsed() <= SOCKET_POLL_TIME, "{:?}", sent_at.elapsed());
+        connection.send(second_part).await;
+        connection.serving.as_mut().await;
+        let mut rest = String::new();
+        connection.client.read_to_string(&mut rest).await.expect("the end of the stream");
+        assert!(rest.ends_with("refused; trying again is harmless\n"), "{rest}");
+    };
+    LocalSet::new().run_until(scenario).await;
+}
+
 /// Reserves memory in blocks of this size until none is granted.
 fn fill(memory: &MemoryBudget, purpose: Purpose, bytes: usize) -> Vec<Reservation> {
     std::iter::from_fn(|| memory.try_reserve(purpose, bytes)).collect()
--- a/crates/balancer-agent/src/memory.rs
+++ b/crates/balancer-agent/src/memory.rs
@@ -5,8 +5,6 @@
 //! gets nothing (wait, close a connection, reject a request).
 
 use bytes::Bytes;
-use std::future::Future;
-use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::Notify;
 
@@ -61,9 +59,10 @@
 struct Shared {
     capacity: usize,
     usage: Mutex<Usage>,
+    /// The tasks that wait for memory for small responses.
     small_lane: Lane,
-    request_lane: Lane,
-    response_lane: Lane,
+    /// The tasks that wait for memory for large responses.
+    large_lane: Lane,
 }
 
 impl Purpose {
@@ -81,7 +80,7 @@
 /// The bytes that are reserved by each [`Kind`].
 type Usage = [usize; KINDS];
 
-/// The tasks that wait for memory of one kind, in the order in which they came.
+/// A queue of tasks that wait for memory, in the order in which they came.
 #[derive(Default)]
 struct Lane {
     /// Held by the task whose turn it is.
@@ -104,8 +103,7 @@
                 capacity,
                 usage: Mutex::default(),
                 small_lane: Lane::default(),
-                request_lane: Lane::default(),
-                response_lane: Lane::default(),
+                large_lane: Lane::default(),
             }),
         }
     }
@@ -131,29 +129,20 @@
         Some(Reservation { shared: self.shared.clone(), kind, bytes })
     }
 
-    /// Waits until bytes can be reserved. Equal purposes are served in the order of their calls, small
-    /// reservations apart from large ones.
-    pub async fn reserve(&self, purpose: Purpose, bytes: usize) -> Reservation {
-        let lane = self.shared.lane(purpose, bytes);
+    /// Waits until bytes can be reserved for a response. Responses are served in the order of the calls, small ones
+    /// apart from large ones.
+    pub async fn reserve_response(&self, bytes: usize) -> Reservation {
+        let lane = if bytes <= MAX_SMALL_BYTES { &self.shared.small_lane } else { &self.shared.large_lane };
         let _turn = lane.turn.lock().await;
         loop {
-            if let Some(reservation) = self.try_reserve(purpose, bytes) {
+            if let Some(reservation) = self.try_reserve(Purpose::Response, bytes) {
                 return reservation;
             }
             lane.released.notified().await;
         }
     }
-
-    /// Returns a future like that of [`MemoryBudget::reserve`] that can be stored.
-    pub fn reserve_later(&self, purpose: Purpose, bytes: usize) -> PendingReservation {
-        let budget = self.clone();
-        Box::pin(async move { budget.reserve(purpose, bytes).await })
-    }
 }
 
-/// A reservation that is waited for.
-pub type PendingReservation = Pin<Box<dyn Future<Output = Reservation>>>;
-
 impl Shared {
     /// Returns the usage. The lock is held for single steps that cannot panic, so a poisoned lock is usable.
     fn usage(&self) -> MutexGuard<'_, Usage> {
@@ -181,20 +170,9 @@
         share.saturating_sub(usage[kind as usize])
     }
 
-    fn lane(&self, purpose: Purpose, bytes: usize) -> &Lane {
-        match purpose {
-            Purpose::ServerConnection | Purpose::ClientConnection | Purpose::ReceiveBuffer => {
-                &self.request_lane
-            }
-            Purpose::Request | Purpose::Response if bytes <= MAX_SMALL_BYTES => &self.small_lane,
-            Purpose::Request => &self.request_lane,
-            Purpose::Response => &self.response_lane,
-        }
-    }
-
     fn release(&self, kind: Kind, bytes: usize) {
         self.usage()[kind as usize] -= bytes;
-        for lane in [&self.small_lane, &self.response_lane, &self.request_lane] {
+        for lane in [&self.small_lane, &self.large_lane] {
             lane.released.notify_one();
         }
     }
--- a/crates/balancer-agent/src/memory/tests.rs
+++ b/crates/balancer-agent/src/memory/tests.rs
@@ -1,6 +1,8 @@
 //! Tests of what the budget grants, and in which order.
 
 use super::*;
+use std::future::Future;
+use std::pin::Pin;
 use std::task::{Context, Poll, Waker};
 
 const CAPACITY: usize = 800 << 10;
@@ -106,7 +108,7 @@
     fn begin(budget: &'a MemoryBudget) -> Self {
         let held = fill(budget, Purpose::Response);
         let wait = || -> Pin<Box<dyn Future<Output = Reservation> + 'a>> {
-            let mut wait = Box::pin(budget.reserve(Purpose::Response, LARGE));
+            let mut wait = Box::pin(budget.reserve_response(LARGE));
             assert!(poll_now(wait.as_mut()).is_pending());
             wait
         };
--- a/crates/balancer-agent/src/upstream/client.rs
+++ b/crates/balancer-agent/src/upstream/client.rs
@@ -6,7 +6,7 @@
 use super::response::{body_end_of, load_report_of, outcome_of, parse_load_report, BodyEnd};
 use super::{MAX_BODY_BYTES, MAX_HEAD_BYTES};
 use crate::body::collect_body;
-use crate::memory::{MemoryBudget, Purpose};
+use crate::memory::MemoryBudget;
 use crate::request::ServedResponse;
 use balancer_core::{Outcome, ServerId};
 use bytes::Bytes;
@@ -186,7 +186,7 @@
         let body = response.into_body();
         let max_size = body.size_hint().upper().map_or(MAX_BODY_BYTES, |size| size as usize);
         let max_size = max_size.min(MAX_BODY_BYTES);
-        let memory = self.memory.reserve(Purpose::Response, RESPONSE_OVERHEAD_BYTES + max_size).await;
+        let memory = self.memory.reserve_response(RESPONSE_OVERHEAD_BYTES + max_size).await;
         let body = collect_body(body, max_size, on_part).await.map_err(|_| ExchangeError)?;
         Ok(ServedResponse { content_type, body: memory.into_bytes(body) })
     }
