Among stalled requests, the one that has been silent the longest gives way first

Change: the rank of a stalled request counts from its last byte.

Result: the_connection_whose_eviction_costs_its_client_least_comes_first has a slow client that began before a stopped one and comes after it.

--- a/crates/balancer-agent/src/listener/eviction.rs
+++ b/crates/balancer-agent/src/listener/eviction.rs
@@ -13,11 +13,12 @@
 
 /// The place of an evictable connection in the order of eviction; the lowest rank comes first.
 ///
-/// Among equals, the connection that has been in its phase the longest comes first.
+/// Among equals, the connection that has been in its phase the longest comes first, and among stalled requests the
+/// one of which nothing has arrived for the longest.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct EvictionRank {
     cost: EvictionCost,
-    phase_since: Instant,
+    since: Instant,
 }
 
 /// What the eviction of a connection costs its client, from the least to the most.
@@ -37,18 +38,17 @@
     /// Returns the rank of a connection in this state, or `None` if it may not be evicted now. A connection whose
     /// request has been received completely is never evicted before the response.
     pub fn of(state: &ConnectionState) -> Option<Self> {
-        let time_in_phase = state.phase_since().elapsed();
-        let (cost, is_evictable) = match state.phase() {
-            Phase::Silent => (EvictionCost::None, time_in_phase >= MIN_SILENT_TIME),
-            Phase::Closing => (EvictionCost::None, true),
-            Phase::Idle => (EvictionCost::Reconnect, time_in_phase >= MIN_IDLE_TIME),
+        let (cost, since, min_time) = match state.phase() {
+            Phase::Silent => (EvictionCost::None, state.phase_since(), MIN_SILENT_TIME),
+            Phase::Closing => (EvictionCost::None, state.phase_since(), Duration::ZERO),
+            Phase::Idle => (EvictionCost::Reconnect, state.phase_since(), MIN_IDLE_TIME),
             Phase::Receiving if state.last_received_at().elapsed() >= MIN_STALL_TIME => {
-                (EvictionCost::StalledRequest, true)
+                (EvictionCost::StalledRequest, state.last_received_at(), MIN_STALL_TIME)
             }
-            Phase::Receiving => (EvictionCost::ArrivingRequest, time_in_phase >= MIN_ARRIVAL_TIME),
+            Phase::Receiving => (EvictionCost::ArrivingRequest, state.phase_since(), MIN_ARRIVAL_TIME),
             Phase::Processing | Phase::Responding => return None,
         };
-        is_evictable.then(|| EvictionRank { cost, phase_since: state.phase_since() })
+        (since.elapsed() >= min_time).then_some(EvictionRank { cost, since })
     }
 }
 
--- a/crates/balancer-agent/src/listener/eviction/tests.rs
+++ b/crates/balancer-agent/src/listener/eviction/tests.rs
@@ -62,16 +62,18 @@
 #[tokio::test(start_paused = true)]
 async fn the_connection_whose_eviction_costs_its_client_least_comes_first() {
     let arriving = receiving();
-    let old_stalled = receiving();
+    let slow = receiving();
     advance(MIN_STALL_TIME).await;
     let stalled = receiving();
+    advance(MIN_STALL_TIME).await;
+    slow.record_bytes();
     let idle = idle();
     advance(MIN_IDLE_TIME).await;
     let silent = ConnectionState::new(Instant::now());
     advance(MIN_SILENT_TIME).await;
     arriving.record_bytes();
 
-    let order = [&silent, &idle, &old_stalled, &stalled, &arriving];
+    let order = [&silent, &idle, &stalled, &slow, &arriving];
     let ranks: Vec<EvictionRank> =
         order.iter().map(|state| EvictionRank::of(state).expect("an evictable connection")).collect();
     assert!(ranks.is_sorted(), "{ranks:?}");
