A short body of unknown size needs only the memory of a short one

Callers would see: beside clients that hold the memory of long messages, small chunked requests were rejected with 429, and short responses in chunks or without a length waited until their attempts timed out.

Cause: a body whose size is not stated reserved the 64 KiB of the longest body before its first byte was read.

Change: it reserves 8 KiB, and the longest body's memory once it exceeds that. A request that then finds none is read to its end and rejected, as before.

Result: a_short_response_of_unknown_length_is_served_beside_clients_that_hold_ all_memory_of_long_ones (no response) and the chunked cases of a_small_request_in_pieces_is_read_beside_clients_that_hold_all_memory_of_long_ messages (429) fail on the commit before and hold. The latter expected that 429 until now.

--- a/crates/balancer-agent/src/listener/tests.rs
+++ b/crates/balancer-agent/src/listener/tests.rs
@@ -265,18 +265,13 @@
 }
 
 /// Guards against a small request that is not read, because other clients hold the memory of long messages and its
-/// head or a line of its body arrives in pieces. A chunked request is rejected, since its body may be long.
+/// head or a line of its body arrives in pieces, or which is rejected because its length is not stated.
 #[tokio::test]
 async fn a_small_request_in_pieces_is_read_beside_clients_that_hold_all_memory_of_long_messages() {
     let chunked_request =
         [&REQUEST[..REQUEST.len() - 2], b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"].concat();
-    let cases = [
-        (REQUEST, 60, Phase::Processing),
-        (REQUEST, 1, Phase::Processing),
-        (&chunked_request, 60, Phase::Closing),
-        (&chunked_request, 1, Phase::Closing),
-    ];
-    for (request, piece_size, phase_after) in cases {
+    for (request, piece_size) in [(REQUEST, 60), (REQUEST, 1), (&chunked_request, 60), (&chunked_request, 1)]
+    {
         let scenario = async {
             let memory = MemoryBudget::for_process(32_000_000);
             let mut connection = TestConnection::open(&start_listener_with(memory.clone()));
@@ -288,7 +283,7 @@
                 connection.stay_open_for(SOCKET_POLL_TIME).await;
             }
 
-            assert_eq!(connection.phase(), phase_after, "in pieces of {piece_size} bytes");
+            assert_eq!(connection.phase(), Phase::Processing, "in pieces of {piece_size} bytes");
         };
         LocalSet::new().run_until(scenario).await;
     }
@@ -397,6 +392,28 @@
     LocalSet::new().run_until(scenario).await;
 }
 
+/// A chunked body that turns out to be long, for which there is no memory, is read to its end and rejected.
+#[tokio::test(start_paused = true)]
+async fn a_long_body_of_unknown_size_without_memory_is_rejected_once_it_is_complete() {
+    let scenario = async {
+        let memory = MemoryBudget::for_process(32_000_000);
+        let mut connection = TestConnection::open(&start_listener_with(memory.clone()));
+        let _bodies = fill(&memory, Purpose::Request, 64 << 10);
+        let head = [&REQUEST[..REQUEST.len() - 2], b"Transfer-Encoding: chunked\r\n\r\n"].concat();
+        connection.send(&head).await;
+        for _ in 0..3 {
+            connection.send(&[b"4e20\r\n", vec![b'b'; 20_000].as_slice(), b"\r\n"].concat()).await;
+            connection.stay_open_for(SOCKET_POLL_TIME).await;
+            assert_eq!(connection.phase(), Phase::Receiving);
+        }
+        connection.send(b"0\r\n\r\n").await;
+        connection.reach(Phase::Closing).await;
+
+        assert!(connection.response().await.starts_with("HTTP/1.1 429 "));
+    };
+    LocalSet::new().run_until(scenario).await;
+}
+
 /// A client that still sends when its connection is closed sees a reset instead of its response.
 #[tokio::test(start_paused = true)]
 async fn a_request_without_memory_is_rejected_once_it_is_complete() {
--- a/crates/balancer-agent/src/listener/validation.rs
+++ b/crates/balancer-agent/src/listener/validation.rs
@@ -3,7 +3,7 @@
 
 use super::invalid_request::InvalidRequest;
 use super::time_limits::READ_TIMEOUT;
-use crate::body::{collect_body, BodyError};
+use crate::body::{collect_body, BodyError, BodySize};
 use crate::driver::Driver;
 use crate::framing::ConnectionState;
 use crate::headers::{forwarded_headers, header_text, REQUEST_ID_HEADER};
@@ -61,21 +61,23 @@
     driver: &Driver,
     memory: &MemoryBudget,
 ) -> Result<ClientRequest, InvalidRequest> {
-    let (head, body) = request.into_parts();
+    let (head, mut body) = request.into_parts();
     let settings = driver.host_settings();
     let class = class_of(&head, &settings.class_names)?;
     check_request_id(&head)?;
     let tenant = tenant_of(&head, &settings.tenant_names)?;
     let client_timeout = timeout_of(&head)?;
     check_effect(driver.effect_of(class), &head)?;
-    let max_body_size = max_body_size(&body)?;
-    let request_bytes = REQUEST_OVERHEAD_BYTES + head_memory(&head) + max_body_size;
-    let Some(mut memory) = memory.try_reserve(Purpose::Request, request_bytes) else {
-        discard_body(body).await;
+    let body_size = body_size(&body)?;
+    let overhead = REQUEST_OVERHEAD_BYTES + head_memory(&head);
+    let reserve = |body_bytes: usize| memory.try_reserve(Purpose::Request, overhead + body_bytes);
+    let Some(mut memory) = reserve(body_size.expected) else {
+        discard_body(&mut body).await;
         return Err(InvalidRequest::NoCapacity);
     };
-    let body = read_body(body, max_body_size).await?;
-    memory.shrink_to(request_bytes - max_body_size + body.len());
+    let reserve_max = async || reserve(body_size.max).map(|longer| memory = longer).is_some();
+    let body = read_body(&mut body, body_size, reserve_max).await?;
+    memory.shrink_to(overhead + body.len());
     Ok(ClientRequest {
         class,
         tenant,
@@ -155,28 +157,36 @@
     HEAD_COPIES * fields
 }
 
-/// Returns the maximum size of a request's body: the stated one, or the permitted one if none is stated.
-fn max_body_size(body: &Incoming) -> Result<usize, InvalidRequest> {
-    let size = body.size_hint();
-    if size.lower() > MAX_BODY_BYTES as u64 {
+/// Returns the size of a request's body.
+fn body_size(body: &Incoming) -> Result<BodySize, InvalidRequest> {
+    if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
         return Err(InvalidRequest::BodyTooLarge);
     }
-    Ok(size.upper().map_or(MAX_BODY_BYTES, |size| size as usize))
+    Ok(BodySize::of(body, MAX_BODY_BYTES))
 }
 
-/// Reads a request's body of at most `max_size` bytes completely, within [`READ_TIMEOUT`].
-async fn read_body(body: Incoming, max_size: usize) -> Result<Vec<u8>, InvalidRequest> {
-    match timeout(READ_TIMEOUT, collect_body(body, max_size, || ())).await {
+/// Reads a request's body completely, within [`READ_TIMEOUT`]. A body for which there is no memory is read to its end,
+/// and not kept.
+async fn read_body(
+    body: &mut Incoming,
+    size: BodySize,
+    reserve_max: impl AsyncFnOnce() -> bool,
+) -> Result<Vec<u8>, InvalidRequest> {
+    match timeout(READ_TIMEOUT, collect_body(&mut *body, size, || (), reserve_max)).await {
         Ok(Ok(body)) => Ok(body),
         Ok(Err(BodyError::TooLong)) => Err(InvalidRequest::BodyTooLarge),
         Ok(Err(BodyError::Incomplete)) => Err(InvalidRequest::IncompleteBody),
+        Ok(Err(BodyError::OutOfMemory)) => {
+            discard_body(body).await;
+            Err(InvalidRequest::NoCapacity)
+        }
         Err(_) => Err(InvalidRequest::RequestTimeout),
     }
 }
 
 /// Reads a request's body to its end without keeping it, within [`READ_TIMEOUT`]. A client that is still sending
 /// could lose a response that comes before the end of its request.
-async fn discard_body(body: Incoming) {
+async fn discard_body(body: &mut Incoming) {
     let mut body = Limited::new(body, MAX_BODY_BYTES);
     let all_frames = async { while let Some(Ok(_)) = body.frame().await {} };
     // The response is the same whether or not the end has come in time.
--- a/crates/balancer-agent/src/upstream/client.rs
+++ b/crates/balancer-agent/src/upstream/client.rs
@@ -5,13 +5,13 @@
 use super::request_write::RequestWrite;
 use super::response::{body_end_of, load_report_of, outcome_of, parse_load_report, BodyEnd};
 use super::{MAX_BODY_BYTES, MAX_HEAD_BYTES};
-use crate::body::collect_body;
+use crate::body::{collect_body, BodySize};
 use crate::memory::MemoryBudget;
 use crate::request::ServedResponse;
 use balancer_core::{Outcome, ServerId};
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{HeaderName, HeaderValue, CONTENT_TYPE};
 use hyper::{Request, Response};
 use std::rc::Rc;
@@ -173,7 +173,8 @@
     }
 
     /// Reads the body of a response, and calls `on_part` for each part of it that arrives. Nothing is read until
-    /// there is memory for the whole body. Returns an error if the body is truncated or exceeds
+    /// there is memory for the stated size, or for a short body if none is stated; of a longer one, nothing more is
+    /// read until there is memory for the longest. Returns an error if the body is truncated or exceeds
     /// [`MAX_BODY_BYTES`].
     async fn read_response(
         &self,
@@ -184,10 +185,13 @@
         let content_type = response.headers().get(CONTENT_TYPE);
         let content_type = content_type.and_then(|value| HeaderValue::from_bytes(value.as_bytes()).ok());
         let body = response.into_body();
-        let max_size = body.size_hint().upper().map_or(MAX_BODY_BYTES, |size| size as usize);
-        let max_size = max_size.min(MAX_BODY_BYTES);
-        let memory = self.memory.reserve_response(RESPONSE_OVERHEAD_BYTES + max_size).await;
-        let body = collect_body(body, max_size, on_part).await.map_err(|_| ExchangeError)?;
+        let size = BodySize::of(&body, MAX_BODY_BYTES);
+        let mut memory = self.memory.reserve_response(RESPONSE_OVERHEAD_BYTES + size.expected).await;
+        let reserve_max = async || {
+            memory = self.memory.reserve_response(RESPONSE_OVERHEAD_BYTES + size.max).await;
+            true
+        };
+        let body = collect_body(body, size, on_part, reserve_max).await.map_err(|_| ExchangeError)?;
         Ok(ServedResponse { content_type, body: memory.into_bytes(body) })
     }
 
--- a/crates/balancer-agent/src/upstream/client/tests.rs
+++ b/crates/balancer-agent/src/upstream/client/tests.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::endpoint_list::EndpointList;
+use crate::memory::Purpose;
 use crate::upstream::PoolLimits;
 use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
@@ -86,6 +87,28 @@
     LocalSet::new().run_until(test).await;
 }
 
+/// Guards against a short response that waits for the memory of long ones because its length is not stated.
+#[tokio::test(start_paused = true)]
+async fn a_short_response_of_unknown_length_is_served_beside_clients_that_hold_all_memory_of_long_ones() {
+    for response in
+        ["Transfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n0\r\n\r\n", "Connection: close\r\n\r\nshort"]
+    {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let client = client_of(&listener);
+        let response = format!("HTTP/1.1 200 OK\r\n{response}");
+        let _held: Vec<_> =
+            std::iter::from_fn(|| client.memory.try_reserve(Purpose::Response, MAX_BODY_BYTES)).collect();
+        let server = async { drop(accept_and_write(&listener, response.as_bytes()).await) };
+        let test = async {
+            timeout(CONNECT_TIMEOUT, async { tokio::join!(body_of_response(&client), server) }).await
+        };
+
+        let (body, ()) = LocalSet::new().run_until(test).await.expect("a response");
+
+        assert_eq!(body, "short", "{response}");
+    }
+}
+
 /// The connect takes 1.5 of the 2 s that the client waits.
 #[tokio::test(start_paused = true)]
 async fn an_attempt_tells_its_server_the_time_that_is_left_after_the_connect() {
