--- a/crates/balancer-agent/src/body.rs
+++ b/crates/balancer-agent/src/body.rs
@@ -37,11 +37,11 @@
     }
 }
 
-/// Collects a body, and calls `on_part` for each part of it that arrives. If the body is longer than expected, calls
-/// `reserve_max`, which returns whether there is memory for a body of the maximum size.
+/// Collects a body, and calls `on_part` for each part of it that arrives. If the body is longer than
+/// expected, calls `reserve_max`, which returns whether there is memory for a body of the maximum size.
 ///
-/// The parts are copied into one buffer. Each part is a view of hyper's read buffer, which is several times as
-/// large as the part and would stay in memory with it.
+/// The parts are copied into one buffer. Each part is a view of hyper's read buffer, which is several times
+/// as large as the part and would stay in memory with it.
 ///
 /// # Errors
 ///
--- a/crates/balancer-agent/src/body/tests.rs
+++ b/crates/balancer-agent/src/body/tests.rs
@@ -37,8 +37,8 @@
     }
 }
 
-/// Collects a body, with or without memory for the maximum size. Returns the result, and whether that memory was
-/// asked for.
+/// Collects a body, with or without memory for the maximum size. Returns the result, and whether that memory
+/// was asked for.
 async fn collect<B>(body: B, has_memory: bool) -> (Result<Vec<u8>, BodyError>, bool)
 where
     B: Body<Data = Bytes, Error = Infallible>,
--- a/crates/balancer-agent/src/discovery.rs
+++ b/crates/balancer-agent/src/discovery.rs
@@ -56,8 +56,8 @@
         }
     }
 
-    /// Starts the watch, or continues it after a failure. Has no effect on a watch that has not failed. A watch
-    /// whose task has panicked is started anew.
+    /// Starts the watch, or continues it after a failure. Has no effect on a watch that has not failed. A
+    /// watch whose task has panicked is started anew.
     pub fn watch(&mut self, handler: Rc<impl WatchHandler + 'static>) {
         if let Some(watch) = self.watch.as_ref().filter(|watch| !watch.task.is_finished()) {
             watch.reopen.notify_one();
--- a/crates/balancer-agent/src/discovery/list_text.rs
+++ b/crates/balancer-agent/src/discovery/list_text.rs
@@ -1,15 +1,15 @@
 //! The text of an endpoint list while it is received.
 
-/// The longest text of a list, in bytes, with each run of whitespace counted as one byte. An entry of the largest
-/// fleet, 3,200 servers, takes at most 500 bytes (STANDING page, "More than these days").
+/// The longest text of a list, in bytes, with each run of whitespace counted as one byte. The STANDING page
+/// allows 500 bytes for each server of the largest fleet, 3,200 servers.
 pub const MAX_LIST_BYTES: usize = 2 << 20;
 /// The longest response with a list, in bytes, with all whitespace. No page limits the indentation of lists.
 pub const MAX_RESPONSE_BYTES: usize = 64 << 20;
 
 /// The JSON text of a list, as far as it has been received.
 ///
-/// Lists may be indented, so most of a response may be whitespace. Each run of whitespace outside strings is kept
-/// as one space, which does not change the meaning of the text.
+/// Lists may be indented, so most of a response may be whitespace. Each run of whitespace outside strings is
+/// kept as one space, which does not change the meaning of the text.
 #[derive(Default)]
 pub struct ListText {
     text: Vec<u8>,
--- a/crates/balancer-agent/src/discovery/tests.rs
+++ b/crates/balancer-agent/src/discovery/tests.rs
@@ -100,7 +100,8 @@
     }
 }
 
-/// Returns a `Discovery` that has been moved to this address, so that its watch begins with the complete list.
+/// Returns a `Discovery` that has been moved to this address, so that its watch begins with the complete
+/// list.
 fn moved_discovery(address: SocketAddr) -> Discovery {
     let mut discovery = Discovery::new(SocketAddr::from(([127, 0, 0, 1], 1)), CACHED_VERSION);
     discovery.set_address(address);
@@ -126,8 +127,8 @@
     LocalSet::new().run_until(test).await;
 }
 
-/// Guards against a list that is never heard because discovery always needs longer than the timeout: each call
-/// was given up before its response arrived, and the next call was given up in the same way.
+/// Guards against a list that is never heard because discovery always needs longer than the timeout: each
+/// call was given up before its response arrived, and the next call was given up in the same way.
 #[tokio::test(start_paused = true)]
 async fn a_list_is_received_although_each_response_is_overdue() {
     let test = async {
@@ -294,7 +295,8 @@
     LocalSet::new().run_until(test).await;
 }
 
-/// Returns the complete list of the largest fleet. Each entry has a field of `extra_bytes` that no agent knows.
+/// Returns the complete list of the largest fleet. Each entry has a field of `extra_bytes` that no agent
+/// knows.
 fn list_of_the_largest_fleet(version: u64, extra_bytes: usize) -> Value {
     let entry = |number: usize| {
         json!({"host": format!("s-{number:08x}"), "dial": "127.0.0.1:18443", "site": "dc-machakos", "class": "std-1",
--- a/crates/balancer-agent/src/endpoint_list/field_value.rs
+++ b/crates/balancer-agent/src/endpoint_list/field_value.rs
@@ -4,8 +4,8 @@
 use serde::{Deserialize, Deserializer};
 use std::fmt;
 
-/// The value of a JSON field. Nothing is kept of arrays, and of objects only the fields of an entry, so that unknown
-/// fields take no memory. Nesting that is too deep is an error.
+/// The value of a JSON field. Nothing is kept of arrays, and of objects only the fields of an entry, so that
+/// unknown fields take no memory. Nesting that is too deep is an error.
 #[derive(Debug, Default, PartialEq)]
 pub enum FieldValue {
     /// A string.
@@ -25,15 +25,22 @@
 
 /// The fields of an object that an entry of a list may have. A missing field is [`FieldValue::Other`].
 #[derive(Debug, Default, PartialEq)]
-#[allow(missing_docs, reason = "the fields are explained on the PROTOCOL page and in `EndpointEntry`")]
 pub struct EntryFields {
+    /// The name of the server.
     pub host: FieldValue,
+    /// The address of the server.
     pub dial: FieldValue,
+    /// The name of the server's zone.
     pub site: FieldValue,
+    /// The name of the server's machine kind.
     pub class: FieldValue,
+    /// The number of the server's cell.
     pub block: FieldValue,
+    /// The word for the server's status.
     pub health: FieldValue,
+    /// The server's weight.
     pub share: FieldValue,
+    /// When the server's process last started, in Unix milliseconds.
     pub born_ms: FieldValue,
 }
 
--- a/crates/balancer-agent/src/framing/client_stream.rs
+++ b/crates/balancer-agent/src/framing/client_stream.rs
@@ -56,8 +56,8 @@
         }
     }
 
-    /// Reads bytes from the socket into the framer. Returns `false` at the end of the stream. If there is no memory
-    /// for the bytes, records that and reads nothing.
+    /// Reads bytes from the socket into the framer. Returns `false` at the end of the stream. If there is no
+    /// memory for the bytes, records that and reads nothing.
     ///
     /// Bytes that the framer drops are read as well, because the end of the stream can be detected only after
     /// them.
--- a/crates/balancer-agent/src/framing/connection_state.rs
+++ b/crates/balancer-agent/src/framing/connection_state.rs
@@ -66,8 +66,8 @@
 }
 
 impl ConnectionState {
-    /// Creates the state of a connection that is served from now on, and whose client connected at `connected_at`
-    /// at the earliest.
+    /// Creates the state of a connection that is served from now on, and whose client connected at
+    /// `connected_at` at the earliest.
     pub fn new(connected_at: Instant) -> Rc<Self> {
         Rc::new(ConnectionState {
             connected_at,
@@ -96,8 +96,8 @@
         self.connected_at
     }
 
-    /// Returns when the last byte of the current request arrived, at the earliest. A request that waited in the
-    /// socket until its connection was served counts from the connect.
+    /// Returns when the last byte of the current request arrived, at the earliest. A request that waited in
+    /// the socket until its connection was served counts from the connect.
     pub fn request_received_at(&self) -> Instant {
         let read_at = if self.phase.get() == Phase::Processing { self.phase_since() } else { Instant::now() };
         let may_have_waited =
--- a/crates/balancer-agent/src/framing/connection_state/tests.rs
+++ b/crates/balancer-agent/src/framing/connection_state/tests.rs
@@ -90,7 +90,8 @@
     assert_eq!(state.framing_fault(), Some(FramingFault::ExcessBytes));
 }
 
-/// Guards against a deadline that is later than the client's because the request waited for a slot of the agent.
+/// Guards against a deadline that is later than the client's because the request waited for a slot of the
+/// agent.
 #[tokio::test(start_paused = true)]
 async fn a_request_that_waited_in_the_socket_counts_from_the_connect() {
     let wait = Duration::from_millis(700);
--- a/crates/balancer-agent/src/framing/receive_buffer.rs
+++ b/crates/balancer-agent/src/framing/receive_buffer.rs
@@ -21,8 +21,8 @@
         ReceiveBuffer { bytes: BytesMut::new(), memory, reservation: None }
     }
 
-    /// Returns whether `additional` bytes can be appended. Memory beyond [`MIN_CAPACITY_BYTES`] is reserved only if
-    /// the bytes need it.
+    /// Returns whether `additional` bytes can be appended. Memory beyond [`MIN_CAPACITY_BYTES`] is reserved
+    /// only if the bytes need it.
     pub fn make_room(&mut self, additional: usize) -> bool {
         if additional <= self.room() {
             return true;
--- a/crates/balancer-agent/src/framing/request_framer.rs
+++ b/crates/balancer-agent/src/framing/request_framer.rs
@@ -39,7 +39,8 @@
 }
 
 impl RequestFramer {
-    /// Creates a framer that expects the first head of a connection. Its buffer takes its memory from `memory`.
+    /// Creates a framer that expects the first head of a connection. Its buffer takes its memory from
+    /// `memory`.
     pub fn new(memory: MemoryBudget) -> Self {
         let buffer = ReceiveBuffer::new(memory);
         RequestFramer { progress: Progress::Head, buffer, released: 0, parsed_length: 0 }
@@ -50,8 +51,8 @@
         matches!(self.progress, Progress::Closed)
     }
 
-    /// Returns how many bytes can be pushed at most, which is 0 if there is no memory for a long head. After a
-    /// complete request, any number can be: the stream is read on so that its end is noticed.
+    /// Returns how many bytes can be pushed at most, which is 0 if there is no memory for a long head. After
+    /// a complete request, any number can be: the stream is read on so that its end is noticed.
     pub fn make_room(&mut self) -> usize {
         match self.progress {
             Progress::Complete | Progress::Closed => usize::MAX,
--- a/crates/balancer-agent/src/listener.rs
+++ b/crates/balancer-agent/src/listener.rs
@@ -50,7 +50,8 @@
 
 impl Listener {
     /// Creates a listener that serves at most `max_connections` connections at a time. `longest_timeout` is
-    /// the longest that clients wait for a response. Connections and requests take their memory from `memory`.
+    /// the longest that clients wait for a response. Connections and requests take their memory from
+    /// `memory`.
     pub fn new(
         driver: Rc<Driver>,
         max_connections: usize,
@@ -67,9 +68,9 @@
 
     /// Runs the accept loop until a graceful shutdown ends it.
     ///
-    /// A connection is accepted even if all slots are in use. In that case, connections without a complete request
-    /// are evicted until a slot is free for the new connection. Without evictions, hundreds of clients that send
-    /// nothing, or stop within a request, could lock other clients out.
+    /// A connection is accepted even if all slots are in use. In that case, connections without a complete
+    /// request are evicted until a slot is free for the new connection. Without evictions, hundreds of
+    /// clients that send nothing, or stop within a request, could lock other clients out.
     pub async fn accept(self: Rc<Self>, socket: TcpListener) {
         let mut acceptor = Acceptor::new(socket);
         while let Some(accepted) = acceptor.next_connection(&self.shutdown).await {
@@ -83,8 +84,8 @@
     /// connections.
     ///
     /// Returns once `accept_task` has accepted the last connection and each connection has been closed after
-    /// its last response, but at the latest at [`ShutdownSchedule::exit_by`], before SIGKILL is due. Returns the
-    /// number of connections that are still open then.
+    /// its last response, but at the latest at [`ShutdownSchedule::exit_by`], before SIGKILL is due. Returns
+    /// the number of connections that are still open then.
     pub async fn shut_down(&self, accept_task: JoinHandle<()>) -> usize {
         let schedule = ShutdownSchedule::starting_at(Instant::now(), self.longest_timeout);
         self.shutdown.start(schedule);
--- a/crates/balancer-agent/src/listener/accept_queue.rs
+++ b/crates/balancer-agent/src/listener/accept_queue.rs
@@ -11,10 +11,11 @@
 /// What is known about the accept queue. The kernel does not report when a connection entered it.
 #[derive(Default)]
 pub struct AcceptQueue {
-    /// When the first connection was accepted after the queue had been empty; `None` if it was empty when it was
-    /// looked at last.
+    /// When the first connection was accepted after the queue had been empty; `None` if it was empty when it
+    /// was looked at last.
     nonempty_since: Option<Instant>,
-    /// When the last connections were accepted since then, at most [`MAX_QUEUE_LENGTH`] of them, oldest first.
+    /// When the last connections were accepted since then, at most [`MAX_QUEUE_LENGTH`] of them, oldest
+    /// first.
     accepted_at: VecDeque<Instant>,
 }
 
@@ -25,8 +26,8 @@
         self.accepted_at.clear();
     }
 
-    /// Records that a connection is accepted now. Returns the earliest time at which it can have entered the queue:
-    /// after the queue was empty, and after a full queue of connections before it.
+    /// Records that a connection is accepted now. Returns the earliest time at which it can have entered the
+    /// queue: after the queue was empty, and after a full queue of connections before it.
     pub fn record_accept(&mut self) -> Instant {
         let now = Instant::now();
         let nonempty_since = *self.nonempty_since.get_or_insert(now);
--- a/crates/balancer-agent/src/listener/client_connection.rs
+++ b/crates/balancer-agent/src/listener/client_connection.rs
@@ -54,8 +54,8 @@
 }
 
 impl CloseReason {
-    /// Returns the reason for which a request that has been received only in part is rejected, or `None` if the
-    /// connection has no such request.
+    /// Returns the reason for which a request that has been received only in part is rejected, or `None` if
+    /// the connection has no such request.
     fn rejection(self) -> Option<InvalidRequest> {
         match self {
             CloseReason::TimedOut(Phase::Receiving) => Some(InvalidRequest::RequestTimeout),
@@ -80,8 +80,8 @@
 }
 
 impl ClientConnection {
-    /// Creates the state of a connection that has got a slot. Its memory is `connection_memory`, and its client
-    /// connected at `connected_at` at the earliest.
+    /// Creates the state of a connection that has got a slot. Its memory is `connection_memory`, and its
+    /// client connected at `connected_at` at the earliest.
     pub fn new(
         id: ConnectionId,
         memory: MemoryBudget,
@@ -107,8 +107,8 @@
         &self.state
     }
 
-    /// Requests the eviction of the connection. The task that serves the connection then closes it, unless what
-    /// has been received by then no longer permits it.
+    /// Requests the eviction of the connection. The task that serves the connection then closes it, unless
+    /// what has been received by then no longer permits it.
     pub fn request_eviction(&self) {
         self.eviction_requested.notify_one();
     }
@@ -116,8 +116,8 @@
     /// Serves the requests that are received over the stream, until the connection is closed.
     ///
     /// The connection is closed when the client closes it, a time limit expires, or it is evicted. During a
-    /// shutdown, it is closed after its last response. A request that has been received only in part is rejected
-    /// before. Returns why the connection is closed. `slot_usage` returns the current slot usage.
+    /// shutdown, it is closed after its last response. A request that has been received only in part is
+    /// rejected before. Returns why the connection is closed. `slot_usage` returns the current slot usage.
     pub async fn serve<S>(
         &self,
         stream: TcpStream,
@@ -185,21 +185,22 @@
         }
     }
 
-    /// Waits until there is no memory for a request's head. Only the reader of the connection can record that, so
-    /// this is polled after it and needs no waker.
+    /// Waits until there is no memory for a request's head. Only the reader of the connection can record
+    /// that, so this is polled after it and needs no waker.
     async fn out_of_memory(&self) {
         let is_out_of_memory = || self.state.framing_fault() == Some(FramingFault::OutOfMemory);
         poll_fn(|_| if is_out_of_memory() { Poll::Ready(()) } else { Poll::Pending }).await;
     }
 
-    /// Waits until an eviction is requested, and until the runtime has noticed the bytes that had arrived by then.
+    /// Waits until an eviction is requested, and until the runtime has noticed the bytes that had arrived by
+    /// then.
     async fn eviction_due(&self) {
         self.eviction_requested.notified().await;
         yield_now().await;
     }
 
-    /// Rejects the request that is being received, and waits for the client to close the connection unless the
-    /// connection is needed for another client.
+    /// Rejects the request that is being received, and waits for the client to close the connection unless
+    /// the connection is needed for another client.
     async fn reject(&self, stream: ClientStream, rejection: InvalidRequest, reason: CloseReason) {
         let linger = match reason {
             CloseReason::Evicted(_) => Duration::ZERO,
--- a/crates/balancer-agent/src/listener/connection_table.rs
+++ b/crates/balancer-agent/src/listener/connection_table.rs
@@ -71,8 +71,8 @@
     }
 
     /// Waits until a slot is free and there is memory for a connection. Meanwhile, evictable connections are
-    /// evicted one by one. If only memory is short, `release_memory` is called before; it returns whether it has
-    /// released some.
+    /// evicted one by one. If only memory is short, `release_memory` is called before; it returns whether it
+    /// has released some.
     pub async fn wait_for_slot(&self, release_memory: impl Fn() -> bool) -> FreeSlot {
         loop {
             if let Some(slot) = self.free_slot() {
--- a/crates/balancer-agent/src/listener/eviction.rs
+++ b/crates/balancer-agent/src/listener/eviction.rs
@@ -1,4 +1,5 @@
-//! The eviction of client connections: which of them may be closed to make room for others, and in which order.
+//! The eviction of client connections: which of them may be closed to make room for others, and in which
+//! order.
 
 use super::time_limits::{MIN_IDLE_TIME, MIN_SILENT_TIME};
 use crate::framing::{ConnectionState, Phase};
@@ -13,8 +14,8 @@
 
 /// The place of an evictable connection in the order of eviction; the lowest rank comes first.
 ///
-/// Among equals, the connection that has been in its phase the longest comes first, and among stalled requests the
-/// one of which nothing has arrived for the longest.
+/// Among equals, the connection that has been in its phase the longest comes first, and among stalled
+/// requests the one of which nothing has arrived for the longest.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct EvictionRank {
     cost: EvictionCost,
@@ -35,8 +36,8 @@
 }
 
 impl EvictionRank {
-    /// Returns the rank of a connection in this state, or `None` if it may not be evicted now. A connection whose
-    /// request has been received completely is never evicted before the response.
+    /// Returns the rank of a connection in this state, or `None` if it may not be evicted now. A connection
+    /// whose request has been received completely is never evicted before the response.
     pub fn of(state: &ConnectionState) -> Option<Self> {
         let (cost, since, min_time) = match state.phase() {
             Phase::Silent => (EvictionCost::None, state.phase_since(), MIN_SILENT_TIME),
--- a/crates/balancer-agent/src/listener/rejection.rs
+++ b/crates/balancer-agent/src/listener/rejection.rs
@@ -7,8 +7,8 @@
 use std::io;
 use std::pin::Pin;
 
-/// Rejects the request that is being received on a connection: writes the response, shuts down the sending side, and
-/// discards what the client still sends until it closes the connection.
+/// Rejects the request that is being received on a connection: writes the response, shuts down the sending
+/// side, and discards what the client still sends until it closes the connection.
 ///
 /// # Errors
 ///
--- a/crates/balancer-agent/src/listener/request_handler.rs
+++ b/crates/balancer-agent/src/listener/request_handler.rs
@@ -92,8 +92,8 @@
         }
     }
 
-    /// Claims the id of a request. The claim belongs to the request, which lasts until all attempts have ended,
-    /// if the request may not run twice. Otherwise, returns the claim, which ends with the response.
+    /// Claims the id of a request. The claim belongs to the request, which lasts until all attempts have
+    /// ended, if the request may not run twice. Otherwise, returns the claim, which ends with the response.
     fn claim_id(&self, request: &mut ClientRequest) -> Result<Option<RequestIdClaim>, InvalidRequest> {
         let claim = self.request_ids.claim(request.id())?;
         if self.driver.effect_of(request.class) == Effect::Idempotent {
--- a/crates/balancer-agent/src/listener/tests.rs
+++ b/crates/balancer-agent/src/listener/tests.rs
@@ -228,8 +228,8 @@
     LocalSet::new().run_until(scenario).await;
 }
 
-/// Guards against a request with a long head that waits for memory while other clients hold it, and gets no response
-/// in time. It is rejected in good order, although its client still sends.
+/// Guards against a request with a long head that waits for memory while other clients hold it, and gets no
+/// response in time. It is rejected in good order, although its client still sends.
 #[tokio::test(start_paused = true)]
 async fn a_long_head_without_memory_is_rejected_at_once() {
     let scenario = async {
@@ -264,8 +264,9 @@
     std::iter::from_fn(|| memory.try_reserve(purpose, bytes)).collect()
 }
 
-/// Guards against a small request that is not read, because other clients hold the memory of long messages and its
-/// head or a line of its body arrives in pieces, or which is rejected because its length is not stated.
+/// Guards against a small request that is not read, because other clients hold the memory of long messages
+/// and its head or a line of its body arrives in pieces, or which is rejected because its length is not
+/// stated.
 #[tokio::test]
 async fn a_small_request_in_pieces_is_read_beside_clients_that_hold_all_memory_of_long_messages() {
     let chunked_request =
@@ -289,8 +290,8 @@
     }
 }
 
-/// Guards against a request with a long head that waits for the memory of long messages, which clients that stop
-/// within their bodies hold. It is read and rejected, since there is no memory to forward it.
+/// Guards against a request with a long head that waits for the memory of long messages, which clients that
+/// stop within their bodies hold. It is read and rejected, since there is no memory to forward it.
 #[tokio::test]
 async fn a_long_head_is_read_beside_clients_that_hold_all_memory_of_long_messages() {
     let scenario = async {
@@ -312,8 +313,8 @@
     LocalSet::new().run_until(scenario).await;
 }
 
-/// Guards against requests that are not read in time because other clients have stopped within theirs and hold all
-/// slots until the read timeout. Such clients are rejected to make room.
+/// Guards against requests that are not read in time because other clients have stopped within theirs and
+/// hold all slots until the read timeout. Such clients are rejected to make room.
 #[tokio::test(start_paused = true)]
 async fn clients_that_stop_within_a_request_make_room_for_others() {
     let body_request = [&REQUEST[..REQUEST.len() - 2], b"Content-Length: 10\r\n\r\nbody"].concat();
--- a/crates/balancer-agent/src/listener/time_limits.rs
+++ b/crates/balancer-agent/src/listener/time_limits.rs
@@ -15,8 +15,8 @@
 /// The time within which a request must be received completely.
 ///
 /// The time counts from the connect for the first request of a connection, and from the first byte of the
-/// request for later ones (docs/findings/late-request-cut-off.md). A connection that had to wait for a slot has
-/// at least [`MIN_SILENT_TIME`] after that.
+/// request for later ones (docs/findings/late-request-cut-off.md). A connection that had to wait for a slot
+/// has at least [`MIN_SILENT_TIME`] after that.
 ///
 /// Connections without a complete request occupy slots that other clients need. The agent must respond on
 /// such a connection or close it within 3 s (TERMS page, "Peers").
--- a/crates/balancer-agent/src/listener/time_limits/tests.rs
+++ b/crates/balancer-agent/src/listener/time_limits/tests.rs
@@ -47,8 +47,8 @@
     assert_eq!(connection.limit(SlotUsage::Low), limit, "receiving");
 }
 
-/// Guards against clients that are neither responded to nor disconnected within 3 s because they have waited for a
-/// slot.
+/// Guards against clients that are neither responded to nor disconnected within 3 s because they have waited
+/// for a slot.
 #[tokio::test(start_paused = true)]
 async fn the_wait_for_a_slot_counts_towards_the_first_request() {
     let connected_at = Instant::now();
--- a/crates/balancer-agent/src/listener/validation.rs
+++ b/crates/balancer-agent/src/listener/validation.rs
@@ -165,8 +165,8 @@
     Ok(BodySize::of(body, MAX_BODY_BYTES))
 }
 
-/// Reads a request's body completely, within [`READ_TIMEOUT`]. A body for which there is no memory is read to its end,
-/// and not kept.
+/// Reads a request's body completely, within [`READ_TIMEOUT`]. A body for which there is no memory is read to
+/// its end, and not kept.
 async fn read_body(
     body: &mut Incoming,
     size: BodySize,
@@ -184,8 +184,8 @@
     }
 }
 
-/// Reads a request's body to its end without keeping it, within [`READ_TIMEOUT`]. A client that is still sending
-/// could lose a response that comes before the end of its request.
+/// Reads a request's body to its end without keeping it, within [`READ_TIMEOUT`]. A client that is still
+/// sending could lose a response that comes before the end of its request.
 async fn discard_body(body: &mut Incoming) {
     let mut body = Limited::new(body, MAX_BODY_BYTES);
     let all_frames = async { while let Some(Ok(_)) = body.frame().await {} };
--- a/crates/balancer-agent/src/memory.rs
+++ b/crates/balancer-agent/src/memory.rs
@@ -1,8 +1,8 @@
 //! The byte budget of the process, which bounds the memory that clients and servers can make the agent use.
 //!
 //! Everything that grows with what a peer sends reserves its bytes here before it takes memory: connections,
-//! heads, bodies and responses. The budget decides what may still be taken; each user decides what to do if it
-//! gets nothing (wait, close a connection, reject a request).
+//! heads, bodies and responses. The budget decides what may still be taken; each user decides what to do if
+//! it gets nothing (wait, close a connection, reject a request).
 
 use bytes::Bytes;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -22,8 +22,8 @@
 const KINDS: usize = 4;
 /// The share of the budget that is guaranteed to each [`Kind`], in eighths. The rest goes to who comes first.
 ///
-/// No kind can take what is guaranteed to another, so that a crowd of clients, servers or large messages cannot
-/// keep small requests from being accepted, forwarded and served.
+/// No kind can take what is guaranteed to another, so that a crowd of clients, servers or large messages
+/// cannot keep small requests from being accepted, forwarded and served.
 const GUARANTEED_EIGHTHS: [usize; KINDS] = [3, 1, 1, 1];
 
 /// A kind of users of the budget.
@@ -129,8 +129,8 @@
         Some(Reservation { shared: self.shared.clone(), kind, bytes })
     }
 
-    /// Waits until bytes can be reserved for a response. Responses are served in the order of the calls, small ones
-    /// apart from large ones.
+    /// Waits until bytes can be reserved for a response. Responses are served in the order of the calls,
+    /// small ones apart from large ones.
     pub async fn reserve_response(&self, bytes: usize) -> Reservation {
         let lane = if bytes <= MAX_SMALL_BYTES { &self.shared.small_lane } else { &self.shared.large_lane };
         let _turn = lane.turn.lock().await;
--- a/crates/balancer-agent/src/upstream/client.rs
+++ b/crates/balancer-agent/src/upstream/client.rs
@@ -58,8 +58,8 @@
         &self.pool
     }
 
-    /// Sends an attempt and waits for its result, but not after `deadline`. The attempt tells its server the time
-    /// that is left until then when it is written.
+    /// Sends an attempt and waits for its result, but not after `deadline`. The attempt tells its server the
+    /// time that is left until then when it is written.
     pub async fn send_attempt(
         &self,
         server: ServerId,
@@ -172,10 +172,10 @@
         Ok(AttemptResult { outcome, load_report, response })
     }
 
-    /// Reads the body of a response, and calls `on_part` for each part of it that arrives. Nothing is read until
-    /// there is memory for the stated size, or for a short body if none is stated; of a longer one, nothing more is
-    /// read until there is memory for the longest. Returns an error if the body is truncated or exceeds
-    /// [`MAX_BODY_BYTES`].
+    /// Reads the body of a response, and calls `on_part` for each part of it that arrives. Nothing is read
+    /// until there is memory for the stated size, or for a short body if none is stated; of a longer one,
+    /// nothing more is read until there is memory for the longest. Returns an error if the body is truncated
+    /// or exceeds [`MAX_BODY_BYTES`].
     async fn read_response(
         &self,
         response: Response<Incoming>,
--- a/crates/balancer-agent/tests/client_connections.rs
+++ b/crates/balancer-agent/tests/client_connections.rs
@@ -84,7 +84,8 @@
     }
 }
 
-/// Guards against requests without a response in time because clients that stop within a request hold all slots.
+/// Guards against requests without a response in time because clients that stop within a request hold all
+/// slots.
 #[tokio::test]
 async fn clients_that_stop_within_a_request_keep_no_other_client_from_its_response() {
     const TIMEOUT: Duration = Duration::from_secs(1);
@@ -105,7 +106,8 @@
     assert!(sent_at.elapsed() < TIMEOUT, "the response took {:?}", sent_at.elapsed());
 }
 
-/// Guards against a server that is told more time than the client has left, because its request waited for a slot.
+/// Guards against a server that is told more time than the client has left, because its request waited for a
+/// slot.
 #[tokio::test]
 async fn the_wait_for_a_slot_is_not_part_of_the_time_that_a_server_is_told() {
     const TIMEOUT: Duration = Duration::from_secs(3);
