--- a/crates/balancer-agent/src/discovery.rs
+++ b/crates/balancer-agent/src/discovery.rs
@@ -5,6 +5,7 @@
 //! ([`balancer_core::Action::WatchEndpoints`]). This module makes the calls of the watch.
 
 mod call;
+mod connector;
 mod list_text;
 mod open_calls;
 mod watch;
@@ -12,6 +13,7 @@
 
 pub use watch_event::{WatchEvent, WatchHandler};
 
+use connector::{Connector, TcpConnector};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::Notify;
@@ -19,7 +21,8 @@
 use watch::Watch;
 
 /// The address of a discovery service, and at most one watch of its endpoint list.
-pub struct Discovery {
+pub struct Discovery<C = TcpConnector> {
+    connector: Rc<C>,
     address: SocketAddr,
     /// The version of the list that a watch begins with, or `None` if a watch begins with the complete list.
     /// Each discovery service counts its own versions.
@@ -43,7 +46,14 @@
     /// Creates a `Discovery` for the service at `address`, without a watch. The watch will begin with the
     /// changes after `cached_version`.
     pub fn new(address: SocketAddr, cached_version: u64) -> Self {
-        Discovery { address, first_version: Some(cached_version), watch: None }
+        Discovery::with_connector(TcpConnector, address, cached_version)
+    }
+}
+
+impl<C: Connector> Discovery<C> {
+    /// Creates a `Discovery` like [`Discovery::new`], whose connections `connector` will open.
+    pub fn with_connector(connector: C, address: SocketAddr, cached_version: u64) -> Self {
+        Discovery { connector: Rc::new(connector), address, first_version: Some(cached_version), watch: None }
     }
 
     /// Changes the address of the service. Ends the watch at the old address and closes its connections. The
@@ -52,7 +62,9 @@
     /// Has no effect if the address is the present one: its open calls may be answered soon.
     pub fn set_address(&mut self, address: SocketAddr) {
         if address != self.address {
-            *self = Discovery { address, first_version: None, watch: None };
+            self.address = address;
+            self.first_version = None;
+            self.watch = None;
         }
     }
 
@@ -64,7 +76,7 @@
             return;
         }
         let reopen = Rc::new(Notify::new());
-        let watch = Watch::new(self.address, self.first_version, handler);
+        let watch = Watch::new(self.address, self.first_version, handler, self.connector.clone());
         let task = tokio::task::spawn_local(watch.run(reopen.clone()));
         self.watch = Some(RunningWatch { task, reopen });
     }
--- a/crates/balancer-agent/src/discovery/call.rs
+++ b/crates/balancer-agent/src/discovery/call.rs
@@ -1,8 +1,9 @@
 //! A call to discovery: one request for the endpoint list, and its response.
 
+use super::connector::Connector;
 use super::list_text::{ListText, ListTooLong, MAX_LIST_BYTES};
 use crate::endpoint_list::EndpointList;
-use crate::http_client::{connect, start_http, ConnectionTask};
+use crate::http_client::{start_http, ConnectionTask};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Incoming;
@@ -10,11 +11,13 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// How long a call may wait at discovery until the list changes. A longer wait would delay the detection of a
 /// discovery service that has become unreachable.
 pub const MAX_CALL_WAIT: Duration = Duration::from_secs(5);
+
 /// The reason why a call has failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum CallError {
@@ -69,15 +72,16 @@
         self.after_version.map_or(Duration::ZERO, |_| MAX_CALL_WAIT)
     }
 
-    /// Sends the request and waits for the response, without a time limit.
+    /// Sends the request and waits for the response, without a time limit. `connector` opens a connection if
+    /// one is needed.
     ///
     /// # Errors
     ///
     /// Returns an error if there is no response, or no list in it that can be used.
-    pub async fn make(self) -> Result<CallResponse, CallError> {
+    pub async fn make(self, connector: Rc<impl Connector>) -> Result<CallResponse, CallError> {
         let mut connection = match self.connection {
             Some(connection) if !connection.sender.is_closed() => connection,
-            _ => Connection::open(self.address).await.ok_or(CallError::Disconnected)?,
+            _ => Connection::open(self.address, connector).await.ok_or(CallError::Disconnected)?,
         };
         let path = match self.after_version {
             Some(version) => {
@@ -95,8 +99,8 @@
 }
 
 impl Connection {
-    async fn open(address: SocketAddr) -> Option<Self> {
-        let stream = connect(address).await.ok()?;
+    async fn open(address: SocketAddr, connector: Rc<impl Connector>) -> Option<Self> {
+        let stream = connector.connect(address).await.ok()?;
         let http = start_http(&Builder::new(), TokioIo::new(stream)).await.ok()?;
         Some(Connection { sender: http.sender, _task: http.task })
     }
--- a/crates/balancer-agent/src/discovery/open_calls.rs
+++ b/crates/balancer-agent/src/discovery/open_calls.rs
@@ -1,6 +1,8 @@
 //! The calls of a watch that wait for their responses.
 
 use super::call::{Call, CallError, CallResponse};
+use super::connector::Connector;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::Instant;
@@ -13,8 +15,8 @@
 const MAX_OPEN_CALLS: usize = 4;
 
 /// The calls that wait for their responses. Dropping the value closes their connections.
-#[derive(Default)]
-pub struct OpenCalls {
+pub struct OpenCalls<C> {
+    connector: Rc<C>,
     /// Oldest first.
     calls: Vec<OpenCall>,
     tasks: JoinSet<Result<CallResponse, CallError>>,
@@ -36,7 +38,12 @@
     pub result: Result<CallResponse, CallError>,
 }
 
-impl OpenCalls {
+impl<C: Connector> OpenCalls<C> {
+    /// Creates an empty set of calls, whose connections `connector` will open.
+    pub fn new(connector: Rc<C>) -> Self {
+        OpenCalls { connector, calls: Vec::new(), tasks: JoinSet::new() }
+    }
+
     /// Makes a call in a separate task. If too many calls are open, gives up the second oldest: a slow
     /// discovery service is likely to respond to the oldest call first.
     pub fn open(&mut self, call: Call) {
@@ -45,7 +52,7 @@
         }
         let after_version = call.after_version;
         let response_due_at = Instant::now() + call.wait() + RESPONSE_TIMEOUT;
-        let task = self.tasks.spawn_local(call.make());
+        let task = self.tasks.spawn_local(call.make(self.connector.clone()));
         self.calls.push(OpenCall { task, after_version, response_due_at });
     }
 
--- a/crates/balancer-agent/src/discovery/watch.rs
+++ b/crates/balancer-agent/src/discovery/watch.rs
@@ -1,6 +1,7 @@
 //! The watch: which call follows which, and which lists are passed on.
 
 use super::call::{Call, CallError, Connection};
+use super::connector::Connector;
 use super::open_calls::{EndedCall, OpenCalls};
 use super::watch_event::{WatchEvent, WatchHandler};
 use crate::endpoint_list::EndpointList;
@@ -17,26 +18,27 @@
 /// the connection may have fallen silent, or discovery may be slow. The handler then reopens the watch with
 /// another call on a new connection, and the open calls go on. Otherwise, a discovery service that always
 /// needs longer than the timeout would never be heard.
-pub struct Watch<Handler> {
+pub struct Watch<Handler, C> {
     address: SocketAddr,
     /// The version of the last list, or `None` if there has been none from this discovery service.
     version: Option<u64>,
     handler: Rc<Handler>,
-    calls: OpenCalls,
+    calls: OpenCalls<C>,
     /// Whether the watch has failed and has not been reopened.
     has_failed: bool,
     /// The errors that have been logged since the last list.
     logged_errors: Vec<CallError>,
 }
 
-impl<Handler: WatchHandler> Watch<Handler> {
-    /// Creates a watch that begins with the changes after `version`, or with the complete list.
-    pub fn new(address: SocketAddr, version: Option<u64>, handler: Rc<Handler>) -> Self {
+impl<Handler: WatchHandler, C: Connector> Watch<Handler, C> {
+    /// Creates a watch that begins with the changes after `version`, or with the complete list. `connector`
+    /// opens its connections.
+    pub fn new(address: SocketAddr, version: Option<u64>, handler: Rc<Handler>, connector: Rc<C>) -> Self {
         Watch {
             address,
             version,
             handler,
-            calls: OpenCalls::default(),
+            calls: OpenCalls::new(connector),
             has_failed: false,
             logged_errors: Vec::new(),
         }
