A list that arrives with an older one from a later call is read

Callers would see: requests to a draining server for one response of discovery too long, although discovery had sent the drain.

Cause: OpenCalls closed the calls that were made before an answered one at once, as if their responses contained nothing new. A watch, or a service that puts its list together at the end of its response, may have written a newer list already.

Changes are refused if others are missing between them and the list in use.

--- a/crates/balancer-agent/src/discovery/list_order.rs
+++ b/crates/balancer-agent/src/discovery/list_order.rs
@@ -4,6 +4,8 @@
 //! continues the count of the former one. Versions therefore decide only between lists that were requested at
 //! the same time; otherwise the list that was requested later is the newer one.
 
+use crate::endpoint_list::EndpointList;
+
 /// The list in use. Lists that were requested at the same time are ordered by their fields.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct ListInUse {
@@ -63,12 +65,14 @@
     /// so.
     ///
     /// If another list has arrived since the call was made, the list with the higher version is used, or else
-    /// that of the later address.
-    pub fn accept(&mut self, basis: CallBasis, version: u64) -> bool {
-        let list = ListInUse { version, address_number: basis.address_number };
-        let arrived_since = self.list.filter(|_| self.list != basis.list);
-        if arrived_since.is_some_and(|arrived_since| list < arrived_since) {
-            return false;
+    /// that of the later address. Changes are used only if they begin with the list in use or before it.
+    pub fn accept(&mut self, basis: CallBasis, received: &EndpointList) -> bool {
+        let list = ListInUse { version: received.version, address_number: basis.address_number };
+        if let Some(arrived_since) = self.list.filter(|_| self.list != basis.list) {
+            let leaves_gap = !received.is_complete && basis.after_version() > Some(arrived_since.version);
+            if list < arrived_since || leaves_gap {
+                return false;
+            }
         }
         self.list = Some(list);
         true
--- a/crates/balancer-agent/src/discovery/tests.rs
+++ b/crates/balancer-agent/src/discovery/tests.rs
@@ -368,6 +368,28 @@
     LocalSet::new().run_until(test).await;
 }
 
+/// Guards against a drain that discovery has sent but that is not applied, because an older list from a later
+/// call arrived at about the same time and ended the call.
+#[tokio::test(start_paused = true)]
+async fn a_newer_list_that_arrives_just_after_an_older_one_from_a_later_call_is_used() {
+    let first_arrival = Duration::from_secs(1);
+    let second_arrival = first_arrival + Duration::from_millis(50);
+    let test = async {
+        let (former, former_address) =
+            TestDiscovery::start(Responses::InTurn(vec![Reply::List(8, second_arrival)])).await;
+        let (_present, present_address) =
+            TestDiscovery::start(Responses::InTurn(vec![Reply::List(7, first_arrival)])).await;
+        let handler = TestHandler::start_watch(moved_discovery(former_address));
+        handler.set_address(present_address);
+
+        sleep(first_arrival * 2).await;
+
+        assert_eq!(handler.received_lists(), [(7, first_arrival), (8, second_arrival)]);
+        assert_eq!(former.open_connections.get(), 0);
+    };
+    LocalSet::new().run_until(test).await;
+}
+
 /// Guards against descriptors that fill up with calls to former addresses, and against a silent former address
 /// that keeps those calls from being answered that could be.
 #[tokio::test(start_paused = true)]
--- a/crates/balancer-agent/src/discovery/watch.rs
+++ b/crates/balancer-agent/src/discovery/watch.rs
@@ -3,14 +3,12 @@
 use super::call::{Call, CallError, Connection};
 use super::connector::Connector;
 use super::list_order::ListOrder;
-use super::open_calls::{EndedCall, OpenCalls};
+use super::open_calls::{wait_until, EndedCall, OpenCalls};
 use super::watch_event::{WatchEvent, WatchHandler};
 use crate::logging::log_line;
-use std::future::pending;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::time::{sleep_until, Instant};
 
 /// A command to a running watch.
 pub enum WatchCommand {
@@ -116,7 +114,7 @@
             }
         };
         self.logged_errors.clear();
-        if self.order.accept(ended.basis, response.list.version) {
+        if self.order.accept(ended.basis, &response.list) {
             self.calls.give_up_before(ended.number);
             self.handler.clone().handle_watch_event(WatchEvent::Endpoints(response.list));
         }
@@ -134,11 +132,3 @@
         }
     }
 }
-
-/// Waits until a moment, or forever if there is none.
-async fn wait_until(moment: Option<Instant>) {
-    match moment {
-        Some(moment) => sleep_until(moment).await,
-        None => pending().await,
-    }
-}
