--- a/crates/balancer-agent/src/discovery/tests.rs
+++ b/crates/balancer-agent/src/discovery/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the watch with a discovery service that is silent, slow, or slow at times, or whose address
 //! changes. The clock is paused.
 
+mod churn;
 mod test_discovery;
 
 use super::call::MAX_CALL_WAIT;
--- a/crates/balancer-agent/src/discovery/tests/test_discovery.rs
+++ b/crates/balancer-agent/src/discovery/tests/test_discovery.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch::Sender;
 use tokio::task::spawn_local;
@@ -126,7 +126,7 @@
 }
 
 /// Reads a request and returns its target, or `None` at the end of the connection.
-async fn read_target(stream: &mut TcpStream) -> Option<String> {
+pub async fn read_target(stream: &mut (impl AsyncRead + Unpin)) -> Option<String> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         if stream.read_buf(&mut head).await.ok()? == 0 {
