--- a/crates/balancer-agent/src/listener/tests.rs
+++ b/crates/balancer-agent/src/listener/tests.rs
@@ -25,6 +25,16 @@
 /// The time after which the runtime has noticed bytes that were sent to its sockets.
 const SOCKET_POLL_TIME: Duration = Duration::from_millis(5);
 
+/// Returns [`REQUEST`] with `end` in place of the end of its head.
+fn request_ending_with(end: &str) -> Vec<u8> {
+    [&REQUEST[..REQUEST.len() - 2], end.as_bytes()].concat()
+}
+
+/// Returns [`REQUEST`] with a head of over 10,000 bytes.
+fn request_with_long_head() -> Vec<u8> {
+    request_ending_with(&format!("X-Attrs: {}\r\n\r\n", "a".repeat(10_000)))
+}
+
 /// Wraps a Unix socket in a [`TcpStream`], on which setting a TCP option fails.
 fn tcp_stream(socket: UnixStream) -> TcpStream {
     let stream = std::net::TcpStream::from(OwnedFd::from(socket));
@@ -117,6 +127,17 @@
         String::from_utf8_lossy(&response[..length]).into_owned()
     }
 
+    /// Polls the serving future, in which the connection must stay open, until the version and the status of a
+    /// response have arrived.
+    async fn response_start(&mut self) -> [u8; 12] {
+        let mut response_start = [0; 12];
+        tokio::select! {
+            () = self.serving.as_mut() => panic!("the connection is closed"),
+            read = self.client.read_exact(&mut response_start) => assert!(read.is_ok()),
+        }
+        response_start
+    }
+
     /// Polls the serving future until the connection is in this phase.
     async fn reach(&mut self, phase: Phase) {
         while self.phase() != phase {
@@ -236,19 +257,12 @@
         let memory = MemoryBudget::for_process(32_000_000);
         let mut connection = TestConnection::open(&start_listener_with(memory.clone()));
         let _heads = fill(&memory, Purpose::ReceiveBuffer, 4 << 10);
-        let long_field = format!("\r\nX-Attrs: {}\r\n", "a".repeat(10_000));
-        let request = String::from_utf8_lossy(REQUEST).replacen("\r\n", &long_field, 1);
-        let (first_part, second_part) = request.as_bytes().split_at(5_000);
+        let request = request_with_long_head();
+        let (first_part, second_part) = request.split_at(5_000);
         connection.send(first_part).await;
-        let mut response_start = [0; 12];
         let sent_at = Instant::now();
 
-        tokio::select! {
-            () = connection.serving.as_mut() => panic!("the connection is closed"),
-            read = connection.client.read_exact(&mut response_start) => assert!(read.is_ok()),
-        }
-
-        assert_eq!(&response_start, b"HTTP/1.1 429");
+        assert_eq!(&connection.response_start().await, b"HTTP/1.1 429");
         assert!(sent_at.elapsed() <= SOCKET_POLL_TIME, "{:?}", sent_at.elapsed());
         connection.send(second_part).await;
         connection.serving.as_mut().await;
@@ -269,8 +283,7 @@
 /// stated.
 #[tokio::test]
 async fn a_small_request_in_pieces_is_read_beside_clients_that_hold_all_memory_of_long_messages() {
-    let chunked_request =
-        [&REQUEST[..REQUEST.len() - 2], b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"].concat();
+    let chunked_request = request_ending_with("Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
     for (request, piece_size) in [(REQUEST, 60), (REQUEST, 1), (&chunked_request, 60), (&chunked_request, 1)]
     {
         let scenario = async {
@@ -299,10 +312,9 @@
         let mut connection = TestConnection::open(&start_listener_with(memory.clone()));
         let _bodies = fill(&memory, Purpose::Request, 64 << 10);
         let _responses = fill(&memory, Purpose::Response, 64 << 10);
-        let long_field = format!("\r\nX-Attrs: {}\r\n", "a".repeat(10_000));
-        let request = String::from_utf8_lossy(REQUEST).replacen("\r\n", &long_field, 1);
+        let request = request_with_long_head();
 
-        for piece in request.as_bytes().chunks(3_000) {
+        for piece in request.chunks(3_000) {
             connection.send(piece).await;
             connection.stay_open_for(SOCKET_POLL_TIME).await;
         }
@@ -317,9 +329,8 @@
 /// hold all slots until the read timeout. Such clients are rejected to make room.
 #[tokio::test(start_paused = true)]
 async fn clients_that_stop_within_a_request_make_room_for_others() {
-    let body_request = [&REQUEST[..REQUEST.len() - 2], b"Content-Length: 10\r\n\r\nbody"].concat();
-    let chunked_request =
-        [&REQUEST[..REQUEST.len() - 2], b"Transfer-Encoding: chunked\r\n\r\n9\r\nbody"].concat();
+    let body_request = request_ending_with("Content-Length: 10\r\n\r\nbody");
+    let chunked_request = request_ending_with("Transfer-Encoding: chunked\r\n\r\n9\r\nbody");
     for partial_request in [&REQUEST[..1], &REQUEST[..REQUEST.len() - 2], &body_request, &chunked_request] {
         let scenario = async {
             let listener = start_listener();
@@ -378,14 +389,8 @@
         let mut connection = TestConnection::open(&start_listener());
         let accepted_at = Instant::now();
         connection.send(&REQUEST[..REQUEST.len() - 2]).await;
-        let mut response_start = [0; 12];
-
-        tokio::select! {
-            () = connection.serving.as_mut() => panic!("the connection is closed"),
-            read = connection.client.read_exact(&mut response_start) => assert!(read.is_ok()),
-        }
 
-        assert_eq!(&response_start, b"HTTP/1.1 408");
+        assert_eq!(&connection.response_start().await, b"HTTP/1.1 408");
         assert!(accepted_at.elapsed() <= READ_TIMEOUT + SOCKET_POLL_TIME, "{:?}", accepted_at.elapsed());
         connection.serving.as_mut().await;
         assert!(accepted_at.elapsed() <= READ_TIMEOUT + CLOSE_TIMEOUT + SOCKET_POLL_TIME);
@@ -400,8 +405,7 @@
         let memory = MemoryBudget::for_process(32_000_000);
         let mut connection = TestConnection::open(&start_listener_with(memory.clone()));
         let _bodies = fill(&memory, Purpose::Request, 64 << 10);
-        let head = [&REQUEST[..REQUEST.len() - 2], b"Transfer-Encoding: chunked\r\n\r\n"].concat();
-        connection.send(&head).await;
+        connection.send(&request_ending_with("Transfer-Encoding: chunked\r\n\r\n")).await;
         for _ in 0..3 {
             connection.send(&[b"4e20\r\n", vec![b'b'; 20_000].as_slice(), b"\r\n"].concat()).await;
             connection.stay_open_for(SOCKET_POLL_TIME).await;
@@ -422,8 +426,7 @@
         let memory = MemoryBudget::with_capacity(64 << 10);
         let mut connection = TestConnection::open(&start_listener_with(memory));
         let body = vec![b'b'; 60_000];
-        let head = String::from_utf8_lossy(REQUEST).replacen("\r\n", "\r\nContent-Length: 60000\r\n", 1);
-        connection.send(head.as_bytes()).await;
+        connection.send(&request_ending_with("Content-Length: 60000\r\n\r\n")).await;
         for part in body.chunks(20_000) {
             connection.stay_open_for(CLOSE_TIMEOUT + SOCKET_POLL_TIME).await;
             assert_eq!(connection.phase(), Phase::Receiving);
